--- a/wrenhitch/adapter.py
+++ b/indigokeel/adapter.py
@@ -1,6 +1,6 @@
 """The simulator's wire: parses events, hosts instances, formats actions. It decides nothing.
 
-Run as ``python -m wrenhitch.adapter``: batches on standard input, one reply a batch on standard output.
+Run as ``python -m indigokeel.adapter``: batches on standard input, one reply a batch on standard output.
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from wrenhitch import interface as api
-from wrenhitch.balancer import Balancer
+from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import Balancer
 
 Parts = dict[str, str]
 
@@ -358,10 +358,10 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"wrenhitch: {error}", file=sys.stderr)
+        print(f"indigokeel: {error}", file=sys.stderr)
         return 1
     except UnicodeDecodeError:
-        print("wrenhitch: the input is not UTF-8 text", file=sys.stderr)
+        print("indigokeel: the input is not UTF-8 text", file=sys.stderr)
         return 1
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
--- a/wrenhitch/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -18,7 +18,7 @@
 from itertools import islice
 from random import Random
 
-from wrenhitch.interface import (
+from indigokeel.decision.interface import (
     Action,
     AnswerStarted,
     AttemptEnded,
--- a/wrenhitch/interface.py
+++ b/indigokeel/decision/interface.py
@@ -1,7 +1,7 @@
 """The interface of the decision module: settings, events and actions, and nothing else.
 
-A sidecar builds one :class:`wrenhitch.balancer.Balancer` from :class:`Settings` and a seed, hands it
-every event with the clock of that moment, and carries out the actions it gets back, in order.
+A sidecar builds one :class:`indigokeel.decision.balancer.Balancer` from :class:`Settings` and a seed, hands
+it every event with the clock of that moment, and carries out the actions it gets back, in order.
 All times are seconds; the clock is monotonic and has an arbitrary origin.
 """
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from wrenhitch import interface as api
-from wrenhitch.balancer import Balancer
+from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import Balancer
 
 SAFE = api.ClassSettings("view", aim=0.5, deadline=1.5, effect=api.Effect.SAFE, worth=1.0)
 KEYED = api.ClassSettings(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from wrenhitch import adapter
-from wrenhitch import interface as api
+from indigokeel import adapter
+from indigokeel.decision import interface as api
 
 ROOT = Path(__file__).resolve().parent.parent
 INFO = {
@@ -54,7 +54,7 @@
 
 def run(text: str, **env: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-B", "-m", "wrenhitch.adapter"],
+        [sys.executable, "-B", "-m", "indigokeel.adapter"],
         input=text,
         capture_output=True,
         text=True,
@@ -179,7 +179,7 @@
 
 def test_deploy_file_builds_and_starts_from_a_read_only_tree(tmp_path: Path) -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["policy"] == ["wrenhitch/balancer.py"]
+    assert deploy["policy"] == ["indigokeel/decision/balancer.py"]
     for key in ("build", "sim"):
         done = subprocess.run(
             ["/bin/sh", "-c", deploy[key]],
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import QUARANTINE_LONGEST, Balancer
 from tests.conftest import KEYED, SAFE, Driver, make_members, make_settings, of, sends
-from wrenhitch import interface as api
-from wrenhitch.balancer import QUARANTINE_LONGEST, Balancer
 
 
 def load(rate: float, utilisation: float) -> api.Load:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import Balancer
 from tests.conftest import KEYED, SAFE, UNSAFE, make_members, make_settings
-from wrenhitch import interface as api
-from wrenhitch.balancer import Balancer
 
 SLACK, GRACE, MOST = 0.02, 1.0, 5
 NEVER_RAN = {api.Ending.REFUSED, api.Ending.NO_CONNECTION, api.Ending.NEVER_SENT}
