--- /dev/null
+++ b/indigokeel/__main__.py
@@ -0,0 +1,30 @@
+"""One real sidecar: ``python -m indigokeel``. What it needs to know is told in BALANCER_CONFIG."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import trio
+
+from indigokeel.config import ConfigError, load_config
+from indigokeel.net.sidecar import serve
+
+
+def main() -> int:
+    """Entry point: 0 at an ordered end, 1 if the address cannot be had, 2 on a bad configuration."""
+    try:
+        config = load_config(os.environ)
+    except ConfigError as error:
+        print(f"indigokeel: bad configuration: {error}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(serve, config)
+    except OSError as error:
+        print(f"indigokeel: cannot serve: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/indigokeel/adapter.py
+++ b/indigokeel/adapter.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections.abc import Callable, Iterable
-from typing import Any, TextIO
+from typing import TextIO
 
+import orjson
+
+from indigokeel.config import SettingsError, decode_settings
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import Balancer
 
@@ -26,7 +28,6 @@
     "recalled": api.Ending.CANCELLED,
     "superseded": api.Ending.NEVER_SENT,
 }
-_REPORTS = {"answers": api.Reports.ANSWERS, "probe": api.Reports.PROBES, "none": api.Reports.NONE}
 _LOAD_FIELDS = {
     "rate": "rate",
     "busy": "utilisation",
@@ -84,80 +85,11 @@
 def parse_settings(text: str) -> api.Settings:
     """Turn the JSON of a start message into settings; unknown keys are skipped."""
     try:
-        data = json.loads(text)
-    except json.JSONDecodeError as error:
+        return decode_settings(orjson.loads(text))
+    except orjson.JSONDecodeError as error:
         raise WireError(f"bad JSON: {error}") from None
-    if not isinstance(data, dict):
-        raise WireError("settings are not an object")
-    try:
-        return _settings(data)
-    except (AttributeError, TypeError) as error:
-        raise WireError(f"settings of a wrong shape: {error}") from None
-
-
-def _settings(data: dict[str, Any]) -> api.Settings:
-    limits, safety, prices = data.get("limits", {}), data.get("safety", {}), data.get("prices", {})
-    return api.Settings(
-        classes=tuple(
-            api.ClassSettings(
-                name=item["name"],
-                aim=float(item["objective-s"]),
-                deadline=float(item["deadline-s"]),
-                effect=api.Effect(item["effect"]),
-                group=api.Group(item.get("group", "all")),
-                repeat_window=float(item.get("repeat-window-s", 0.0)),
-                worth=float(item.get("importance", 1.0)),
-                late_worth=float(item.get("late-worth", 0.0)),
-                streaming=bool(item.get("streaming", False)),
-                aim_stretch=float(item.get("aim-stretch", 0.0)),
-            )
-            for item in data["classes"]
-        ),
-        me=int(data.get("me", 0)),
-        sidecars=int(data.get("balancers", 1)),
-        zone=str(data.get("zone", "")),
-        tenants=tuple(
-            api.TenantSettings(
-                item["name"], float(item.get("share", 0.0)), float(item.get("quota-per-s", 0.0))
-            )
-            for item in data.get("tenants") or ()
-        ),
-        limits=api.Limits(
-            cancelling=bool(limits.get("cancelling", False)),
-            second_copies=bool(limits.get("second-copies", False)),
-            probes=bool(limits.get("probes", False)),
-            max_attempts=int(limits.get("max-attempts", 1)),
-            connect_timeout=float(limits.get("connect-timeout-s", 0.25)),
-            keepalive=float(limits.get("keepalive-s", 15.0)),
-            retry_after=bool(limits.get("retry-after", False)),
-            max_retry_after=float(limits.get("max-retry-after-s", 0.0)),
-            max_open=int(limits.get("max-open", 20_000)),
-            streams=int(limits.get("streams-per-conn", 1)),
-        ),
-        safety=api.Safety(
-            answer_slack=float(safety.get("answer-slack-s", 0.02)),
-            ask_within=float(safety.get("ask-within-s", 10.0)),
-            cold_from=float(safety.get("cold-from", 0.3)),
-            warm_within=float(safety.get("warm-within-s", 10.0)),
-            drain_grace=float(safety.get("drain-grace-s", 1.0)),
-            tip_multiple=float(safety.get("tip-multiple", 3.0)),
-            overload_for=float(safety.get("overload-for-s", 2.0)),
-        ),
-        prices=api.Prices(
-            cross_zone=float(prices.get("cross-zone", 0.0)),
-            probe=float(prices.get("probe", 0.0)),
-            waste=float(prices.get("waste", 0.0)),
-            late_fail=float(prices.get("late-fail", 0.0)),
-            handshake=float(prices.get("handshake", 0.0)),
-            connection=float(prices.get("connection", 0.0)),
-        ),
-        reports=_REPORTS.get(data.get("telemetry", {}).get("how", "none"), api.Reports.NONE),
-        ask_membership=data.get("membership-mode") == "on_request",
-        scale_is_size=data.get("weights") in ("nominal", "rough"),
-        warm_keys=bool(data.get("specifics", {}).get("warm-keys", False)),
-        worth_by_work=data.get("counted-by") == "work",
-        over_share_worth=float(data.get("over-share-worth", 1.0)),
-    )
+    except SettingsError as error:
+        raise WireError(str(error)) from None
 
 
 def _request(parts: Parts) -> api.Event:
--- /dev/null
+++ b/indigokeel/facade.py
@@ -0,0 +1,385 @@
+"""The facade of the decision module: blocking calls, the clock passed in, plain values out.
+
+Network code hands in jobs, endings of claims, machine lists and the time, and carries out the Orders it
+gets back. The module's events and actions stay in here. The facade keeps the books: which jobs are owed
+an answer, which claims are out, that each claim gets exactly one ending, and what is due when.
+It does no input or output, so that any protocol can stand before it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import Balancer
+from indigokeel.machine_list import Machine, MachineList
+
+# s before the submitter's own limit at which the last word is given: the answer has to be written, and
+# to arrive, in that time.
+ANSWER_MARGIN = 0.01
+_MOST_EVENTS = 1000  # that one call may set off in the module: guards against a loop that never ends
+
+
+class Outcome(Enum):
+    """How a claim ended, as the network saw it."""
+
+    SERVED = api.Ending.OK
+    ERROR = api.Ending.ERROR
+    TURNED_AWAY = api.Ending.REFUSED  # the execute node says that it never began
+    NO_CONNECTION = api.Ending.NO_CONNECTION  # not all of it was written: it cannot have run
+    BROKEN = api.Ending.BROKEN
+    MOOT = api.Ending.NEVER_SENT  # not sent: the job is over, or the execute node wants nothing new
+    TIMED_OUT = api.Ending.TIMEOUT
+
+
+class Verdict(Enum):
+    """The final answer to a job."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A submitter's job, owed exactly one answer within ``budget`` seconds."""
+
+    id: str
+    job_class: str
+    budget: float
+    tenant: str = ""
+    key: str = ""
+    hint: float = 0.0
+    repeat: bool = False
+    write: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One attempt at a job on one execute node, to be given up at clock time ``until``."""
+
+    job: str
+    number: int
+    node: str
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer to a job; where it was served, ``claim`` is the one that did it."""
+
+    job: str
+    verdict: Verdict
+    retry_in: float = 0.0
+    claim: int = -1
+
+
+@dataclass(slots=True)
+class Orders:
+    """What the network has to do now."""
+
+    claims: list[Claim] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    given_up: list[tuple[str, int]] = field(default_factory=list)  # claims whose connection is to close
+    probes: list[str] = field(default_factory=list)
+    close_idle: list[str] = field(default_factory=list)
+    notes: list[str] = field(default_factory=list)
+    watch: bool = False
+    fetch: bool = False
+
+
+class _OpenClaim:
+    __slots__ = ("begun", "ended", "node", "sent")
+
+    def __init__(self, node: str, sent: float) -> None:
+        self.node, self.sent = node, sent
+        self.begun = self.ended = False
+
+
+class _OpenJob:
+    __slots__ = ("answer_by", "claims", "id", "out", "over")
+
+    def __init__(self, job_id: str, answer_by: float) -> None:
+        self.id, self.answer_by = job_id, answer_by
+        self.claims: list[_OpenClaim] = []
+        self.out = 0  # claims without an ending
+        self.over = False
+
+
+class Facade:
+    """All decisions of one sidecar, and its books."""
+
+    def __init__(self, settings: api.Settings, seed: int, unix_to_clock: float) -> None:
+        """``unix_to_clock`` is what has to be added to a Unix time to get this clock's."""
+        self._balancer = Balancer(settings, seed)
+        self._limits = settings.limits
+        self._unix_to_clock = unix_to_clock
+        self._jobs: dict[str, _OpenJob] = {}
+        self._machines: dict[str, Machine] = {}
+        self._agenda: list[tuple[float, int, Callable[[float, Orders], None]]] = []
+        self._entries = 0
+        self.owed = 0  # jobs taken and not answered
+        self.faults = 0  # exceptions of the module
+
+    # --- what network code asks ---------------------------------------------------------------------
+
+    def due(self) -> float:
+        """The clock time of the next call of tick."""
+        return self._agenda[0][0] if self._agenda else math.inf
+
+    def ready(self) -> bool:
+        """Whether a job could be served: some execute node takes work."""
+        return any(machine.state is api.State.SERVING for machine in self._machines.values())
+
+    def knows(self, job_id: str) -> bool:
+        """Whether a job of this id is open, or has a claim out still."""
+        return job_id in self._jobs
+
+    def address(self, node: str) -> tuple[str, int] | None:
+        """Where an execute node listens; None where it wants nothing new."""
+        machine = self._machines.get(node)
+        if machine is None or machine.state is not api.State.SERVING:
+            return None
+        return machine.host, machine.port
+
+    def begin(self, claim: Claim) -> bool:
+        """Asked right before a claim's first byte is written: whether it may still go out.
+
+        Guards against the drain, or the answer, that came while a connection was being made."""
+        job = self._jobs.get(claim.job)
+        if job is None or job.over or job.claims[claim.number].ended or self.address(claim.node) is None:
+            return False
+        job.claims[claim.number].begun = True
+        return True
+
+    # --- what network code tells --------------------------------------------------------------------
+
+    def pick(self, now: float, job: Job) -> Orders:
+        """Take a job and decide on it."""
+        orders = Orders()
+        if self.owed >= self._limits.max_open:
+            orders.answers.append(Answer(job.id, Verdict.REFUSED, self._limits.max_retry_after))
+            return orders
+        if job.id in self._jobs:
+            raise ValueError(f"a job of this id is open: {job.id}")
+        # However short the time, some of it is for trying.
+        answer_by = now + max(job.budget - ANSWER_MARGIN, job.budget / 2.0)
+        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by)
+        self.owed += 1
+        self._enter(answer_by, lambda late, more: self._expire(late, opened, more))
+        event = api.RequestArrived(
+            job.id, job.job_class, job.budget, job.tenant, job.key, job.hint, job.repeat, job.write
+        )
+        self._feed(now, event, orders, opened)
+        return orders
+
+    def report(
+        self, now: float, claim: Claim, outcome: Outcome, load: dict[str, float] | None = None
+    ) -> Orders:
+        """Tell how a claim ended. One that has its ending already is passed over."""
+        orders = Orders()
+        job = self._jobs.get(claim.job)
+        if job is not None and not job.claims[claim.number].ended:
+            self._end_claim(now, job, claim.number, outcome, orders, load)
+        return orders
+
+    def left(self, now: float, job_id: str) -> Orders:
+        """The submitter is gone: nothing more is owed."""
+        orders = Orders()
+        job = self._jobs.get(job_id)
+        if job is not None and not job.over:
+            self._over(job)
+            self._feed(now, api.ClientLeft(job_id), orders, job)
+        return orders
+
+    def tick(self, now: float) -> Orders:
+        """Do all that is due."""
+        orders = Orders()
+        while self._agenda and self._agenda[0][0] <= now:
+            heapq.heappop(self._agenda)[2](now, orders)
+        return orders
+
+    def probed(
+        self, now: float, node: str, outcome: Outcome, elapsed: float, load: dict[str, float] | None = None
+    ) -> Orders:
+        """Tell how a probe ended."""
+        orders = Orders()
+        figures = api.Load(**load) if load else None
+        self._feed(now, api.ProbeEnded(node, outcome.value, elapsed, figures), orders)
+        return orders
+
+    def listed(self, now: float, news: MachineList, cached: bool = False) -> Orders:
+        """Take in a machine list, whole or in part."""
+        orders = Orders()
+        before = {name for name, m in self._machines.items() if m.state is api.State.SERVING}
+        if news.whole:
+            self._machines.clear()
+        for machine in news.machines:
+            if machine.state is api.State.GONE:
+                self._machines.pop(machine.name, None)
+            else:
+                self._machines[machine.name] = machine
+        orders.close_idle += sorted(name for name in before if self.address(name) is None)
+        kind = api.News.CACHED if cached else api.News.FULL if news.whole else api.News.DELTA
+        members = tuple(self._member(machine) for machine in news.machines)
+        self._feed(now, api.MembershipNews(kind, members, news.version), orders)
+        return orders
+
+    def list_failed(self, now: float) -> Orders:
+        """A call to discovery failed, or a watch has ended. Told once for each."""
+        orders = Orders()
+        self._feed(now, api.MembershipNews(api.News.FAILED), orders)
+        return orders
+
+    # --- the books ----------------------------------------------------------------------------------
+
+    def _member(self, machine: Machine) -> api.Member:
+        # One clock: 0 stays "long ago", whatever the offset between the clocks.
+        started = machine.since + self._unix_to_clock if machine.since > 0.0 else 0.0
+        return api.Member(
+            machine.name, machine.zone, machine.kind, machine.cell, machine.state, machine.weight, started
+        )
+
+    def _enter(self, at: float, call: Callable[[float, Orders], None]) -> None:
+        self._entries += 1
+        heapq.heappush(self._agenda, (at, self._entries, call))
+
+    def _over(self, job: _OpenJob) -> None:
+        job.over = True
+        self.owed -= 1
+
+    def _expire(self, now: float, job: _OpenJob, orders: Orders) -> None:
+        """The submitter's time is up: end what is out, and see that an answer goes out."""
+        for number in range(len(job.claims)):
+            self._give_up(now, job, number, orders)
+        if not job.over:
+            self._fail(now, job, orders)
+        self._close(job)
+
+    def _fail(self, now: float, job: _OpenJob, orders: Orders) -> None:
+        self._over(job)
+        orders.answers.append(Answer(job.id, Verdict.FAILED))
+        self._feed(now, api.ClientLeft(job.id), orders, job)
+
+    def _give_up(self, now: float, job: _OpenJob, number: int, orders: Orders) -> None:
+        claim = job.claims[number]
+        if not claim.ended:
+            orders.given_up.append((job.id, number))
+            # Without its first byte written it cannot have run.
+            outcome = Outcome.TIMED_OUT if claim.begun else Outcome.NO_CONNECTION
+            self._end_claim(now, job, number, outcome, orders)
+
+    def _end_claim(
+        self,
+        now: float,
+        job: _OpenJob,
+        number: int,
+        outcome: Outcome,
+        orders: Orders,
+        load: dict[str, float] | None = None,
+    ) -> None:
+        claim = job.claims[number]
+        claim.ended = True
+        job.out -= 1
+        if outcome is Outcome.SERVED and not job.over:
+            self._over(job)
+            orders.answers.append(Answer(job.id, Verdict.SERVED, claim=number))
+        figures = api.Load(**load) if load else None
+        event = api.AttemptEnded(
+            job.id, claim.node, number, outcome.value, now - claim.sent, job.over, figures
+        )
+        self._feed(now, event, orders, job)
+
+    def _close(self, job: _OpenJob) -> None:
+        """A job stays known until its last claim has told how it ended."""
+        if job.over and job.out == 0:
+            self._jobs.pop(job.id, None)
+
+    # --- the module ---------------------------------------------------------------------------------
+
+    def _feed(self, now: float, event: api.Event, orders: Orders, job: _OpenJob | None = None) -> None:
+        events = deque((event,))
+        for _ in range(_MOST_EVENTS):
+            if not events:
+                break
+            try:
+                actions = self._balancer.handle(now, events.popleft())
+            except Exception as error:  # a fault in a decision costs its job, never the sidecar
+                self.faults += 1
+                orders.notes.append(f"fault in the decision module: {type(error).__name__}: {error}")
+                if job is not None and not job.over and job.out == 0:
+                    self._over(job)
+                    orders.answers.append(Answer(job.id, Verdict.FAILED))
+                continue
+            for action in actions:
+                self._act(now, action, orders, events)
+        if job is not None:
+            self._close(job)
+
+    def _act(self, now: float, action: api.Action, orders: Orders, events: deque[api.Event]) -> None:
+        match action:
+            case api.Send():
+                self._claim(now, action, orders, events)
+            case api.SetTimer(delay, token):
+                self._enter(now + delay, lambda late, more: self._feed(late, api.TimerFired(token), more))
+            case api.CloseIdle(node):
+                orders.close_idle.append(node)
+            case api.Refuse(job_id, retry_in):
+                self._answer(job_id, Verdict.REFUSED, retry_in, orders)
+            case api.Fail(job_id):
+                self._answer(job_id, Verdict.FAILED, 0.0, orders)
+            case api.CancelAttempt(job_id, number):
+                job = self._jobs.get(job_id)
+                if job is not None and number < len(job.claims) and not job.claims[number].ended:
+                    job.claims[number].ended = True
+                    job.out -= 1
+                    orders.given_up.append((job_id, number))
+                    claim = job.claims[number]
+                    events.append(
+                        api.AttemptEnded(
+                            job_id, claim.node, number, api.Ending.CANCELLED, now - claim.sent, job.over
+                        )
+                    )
+                    self._close(job)
+            case api.Probe(node):
+                orders.probes.append(node)
+            case api.Subscribe():
+                orders.watch = True
+            case api.FetchList():
+                orders.fetch = True
+            case api.Log(text):
+                orders.notes.append(text)
+
+    def _answer(self, job_id: str, verdict: Verdict, retry_in: float, orders: Orders) -> None:
+        job = self._jobs.get(job_id)
+        if job is not None and not job.over:
+            self._over(job)
+            orders.answers.append(Answer(job_id, verdict, retry_in))
+            self._close(job)
+
+    def _claim(self, now: float, send: api.Send, orders: Orders, events: deque[api.Event]) -> None:
+        job = self._jobs.get(send.id)
+        if job is None:
+            return
+        number = len(job.claims)
+        opened = _OpenClaim(send.upstream, now)
+        job.claims.append(opened)
+        moot = job.over or now >= job.answer_by or number >= self._limits.max_attempts
+        if moot or self.address(send.upstream) is None:
+            opened.ended = True
+            events.append(
+                api.AttemptEnded(send.id, send.upstream, number, api.Ending.NEVER_SENT, 0.0, job.over)
+            )
+            return
+        job.out += 1
+        until = min(now + send.timeout, job.answer_by) if send.timeout > 0.0 else job.answer_by
+        if send.timeout < 0.0:
+            until = now
+        if until < job.answer_by:
+            self._enter(until, lambda late, more: self._give_up(late, job, number, more))
+        orders.claims.append(Claim(send.id, number, send.upstream, until))
--- /dev/null
+++ b/indigokeel/net/counters.py
@@ -0,0 +1,42 @@
+"""Counters of what is taken in, sent and answered, and the log."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+import orjson
+
+_LOG_MOST = 500  # lines; a log counts as memory where it is kept, and no fault may flood it
+
+
+class Counters:
+    """Counts by name, printed as one line of JSON; and log lines, bounded."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._counts: Counter[str] = Counter()
+        self._lines = 0
+
+    def add(self, what: str, amount: int = 1) -> None:
+        self._counts[what] += amount
+
+    def __getitem__(self, what: str) -> int:
+        return self._counts[what]
+
+    def log(self, text: str) -> None:
+        """Write a line for the operators; past the bound only counters tell."""
+        self._lines += 1
+        if self._lines <= _LOG_MOST:
+            self._write(" ".join(text.split())[:500])
+
+    def dump(self, **figures: float) -> None:
+        """Print all counters; never held back by the bound on log lines."""
+        counts = dict(sorted(self._counts.items()))
+        self._write("counters " + orjson.dumps({**counts, **figures}).decode())
+
+    def _write(self, text: str) -> None:
+        try:
+            print(f"indigokeel {self._name}: {text}", file=sys.stderr, flush=True)
+        except OSError:  # nobody reads the log any more: no reason to stop serving
+            self._counts["log_lost"] += 1
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -179,7 +179,7 @@
 
 def test_deploy_file_builds_and_starts_from_a_read_only_tree(tmp_path: Path) -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["policy"] == ["indigokeel/decision/balancer.py"]
+    assert deploy["policy"] == ["indigokeel/decision/balancer.py", "indigokeel/decision/interface.py"]
     for key in ("build", "sim"):
         done = subprocess.run(
             ["/bin/sh", "-c", deploy[key]],
