--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+import select
 import socket
 from collections.abc import Iterable, Sequence
 
@@ -92,15 +93,10 @@
         data = [h11.Data(data=piece) for piece in body]  # type: ignore[arg-type]
         await self.send(head, *data, h11.EndOfMessage())
 
-    def at_end(self) -> bool:
-        """Whether the other side has closed, or sent what nobody asked for, on an idle connection."""
-        try:
-            self.sock._sock.recv(1, socket.MSG_PEEK)  # type: ignore[attr-defined]
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+    def readable(self) -> bool:
+        """Whether there is something to read. On an idle connection to an execute node that is its end,
+        or what nobody asked for; on one from a submitter its end or a job."""
+        return readable(self.sock)
 
     def close(self) -> None:
         self.sock.close()
@@ -129,6 +125,13 @@
     return Wire(sock, role)
 
 
+def readable(sock: trio.socket.SocketType) -> bool:
+    """Whether a read, or an accept, would find something now."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def out_of_descriptors(error: OSError) -> bool:
     return error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -190,7 +190,7 @@
         kept = self._idle.get(node, [])
         while kept:
             wire, where, since = kept.pop()
-            if where == address and trio.current_time() - since < self._idle_most and not wire.at_end():
+            if where == address and trio.current_time() - since < self._idle_most and not wire.readable():
                 return wire
             self._close(wire)
         return None
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -75,6 +75,8 @@
             await waiting.ready.wait()
         finally:
             self._waiting.pop(job.id, None)
+            if not waiting.ready.is_set():  # it left, or its session failed: nobody waits any more
+                self.left(job.id)
         return waiting.final
 
     def left(self, job_id: str) -> None:
@@ -96,8 +98,9 @@
                 waiting.final = Final(answer.verdict, answer.retry_in, body)
                 waiting.ready.set()
         for claim in orders.claims:
-            task = self._waiting[claim.job].task
-            self._spawn("claim", self._pool.run, claim, task, self._claim_done)
+            waiting = self._waiting.get(claim.job)
+            if waiting is not None:
+                self._spawn("claim", self._pool.run, claim, waiting.task, self._claim_done)
         for node in orders.probes:
             self._spawn("probe", self._probe, node)
         for node in orders.close_idle:
@@ -230,13 +233,12 @@
         accepting.cancel()
         self.closing = True
         # What the system has accepted already is ours: it is served before the listener goes.
-        listener._sock.setblocking(False)  # type: ignore[attr-defined]
-        while len(self._sessions) < self._most:
+        while len(self._sessions) < self._most and http.readable(listener):
             try:
-                raw, _ = listener._sock.accept()  # type: ignore[attr-defined]
+                sock, _ = await listener.accept()
             except OSError:
                 break
-            self._spawn("session", self._session, trio.socket.from_stdlib_socket(raw))
+            self._spawn("session", self._session, sock)
         listener.close()
         await trio.sleep(0)
         # A message that is only half here is not owed an answer; it may still become whole for a moment.
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -120,11 +120,11 @@
     @property
     def idle(self) -> bool:
         """Whether it stands between two messages with nothing of the next one read."""
-        return self._idle_scope is not None and not self._wire.at_end()
+        return self._idle_scope is not None and not self._wire.readable()
 
     def close_if_idle(self) -> None:
         """Close a connection that waits for its next message. One with something to read is left."""
-        if self._idle_scope is not None and not self._wire.at_end():
+        if self._idle_scope is not None and self.idle:
             self._idle_scope.cancel()
 
     async def run(self) -> None:
@@ -151,7 +151,7 @@
         """Wait for the first byte of the next message; False if none will come."""
         if self._wire.http.trailing_data[0]:
             return True
-        if self._desk.closing and not self._wire.at_end():
+        if self._desk.closing and not self._wire.readable():
             return False
         with trio.CancelScope() as self._idle_scope:
             try:
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,257 @@
+"""Scripted peers on 127.0.0.1 for tests that start the program as ``run`` does."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT = 20.0  # s for anything to come about; only a failing test waits as long
+
+CLASSES = [
+    {"name": "pay", "objective-s": 0.6, "deadline-s": 1.2, "effect": "unsafe", "importance": 2.0},
+    {"name": "view", "objective-s": 0.6, "deadline-s": 1.2, "effect": "safe"},
+    {
+        "name": "order",
+        "objective-s": 0.6,
+        "deadline-s": 2.5,
+        "effect": "keyed",
+        "group": "cell",
+        "repeat-window-s": 1.5,
+    },
+]
+SETTINGS: dict[str, Any] = {
+    "classes": CLASSES,
+    "balancers": 1,
+    "zone": "z",
+    "membership-mode": "on_request",
+    "telemetry": {"how": "answers", "columns": ["busy", "rate"]},
+    "limits": {
+        "second-copies": True,
+        "max-attempts": 5,
+        "connect-timeout-s": 0.25,
+        "keepalive-s": 30.0,
+        "retry-after": True,
+        "max-retry-after-s": 1.2,
+    },
+    "safety": {"cold-from": 0.35, "warm-within-s": 600.0, "drain-grace-s": 0.25, "tip-multiple": 1.0},
+}
+
+
+def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition."""
+    end = time.monotonic() + WAIT
+    while not condition():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.005)
+
+
+@dataclass(frozen=True)
+class Message:
+    """One message that a peer has read."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def read_message(file: Any) -> Message | None:
+    """Read one message with a Content-Length, or with none."""
+    line = file.readline()
+    if not line:
+        return None
+    headers = {}
+    while (row := file.readline().strip()) != b"":
+        name, _, value = row.partition(b":")
+        headers[name.decode().lower()] = value.strip().decode()
+    body = file.read(int(headers.get("content-length", "0")))
+    return Message(line.decode().strip(), headers, body)
+
+
+def ok(body: bytes = b"done", more: str = "") -> bytes:
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode() + body
+
+
+def status(code: int, more: str = "") -> bytes:
+    return f"HTTP/1.1 {code} No\r\nContent-Length: 0\r\n{more}\r\n".encode()
+
+
+class Peer:
+    """A server that hands each message to ``script``: bytes are sent, None closes the connection, bytes
+    that begin with ``!`` are sent and then it is closed. A script may wait before it returns."""
+
+    def __init__(self, script: Callable[[Message], bytes | None]) -> None:
+        self.script = script
+        self.got: list[Message] = []
+        self.closed = 0  # connections that this side has closed
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._server.accept()
+                threading.Thread(target=self._talk, args=(conn,), daemon=True).start()
+
+    def _talk(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError), conn, conn.makefile("rb") as file:
+            while (message := read_message(file)) is not None:
+                self.got.append(message)
+                answer = self.script(message)
+                if answer is None:
+                    break
+                conn.sendall(answer.removeprefix(b"!"))
+                if answer.startswith(b"!"):
+                    break
+        self.closed += 1
+
+    def close(self) -> None:
+        self._server.close()
+
+
+class Discovery(Peer):
+    """Discovery: keeps each watch open and sends on it what is pushed."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda message: None)
+        self.watches: list[socket.socket] = []
+
+    def _talk(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            message = read_message(conn.makefile("rb"))
+            assert message is not None
+            conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.got.append(message)
+            self.watches.append(conn)
+
+    def push(self, line: bytes) -> None:
+        until(lambda: bool(self.watches))
+        self.watches[-1].sendall(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+
+
+def entry(name: str, port: int, state: str = "Ready", cell: int = 1, since_ms: int = 0) -> dict[str, Any]:
+    return {
+        "name": name,
+        "address": f"127.0.0.1:{port}",
+        "zone": "z",
+        "type": "m",
+        "group": cell,
+        "status": state,
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
+
+
+def machine_list(*entries: dict[str, Any], index: int = 1, whole: bool = True) -> dict[str, Any]:
+    return {"index": index, "snapshot": whole, "endpoints": list(entries)}
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return int(server.getsockname()[1])
+
+
+class Program:
+    """The program, started as ``run`` starts it."""
+
+    def __init__(self, tmp: Path, known: dict[str, Any], discovery: int, **settings: Any) -> None:
+        self.port = free_port()
+        config = tmp / "config.json"
+        data = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 256},
+            "known": known,
+            "settings": {**SETTINGS, **settings},
+        }
+        config.write_text(json.dumps(data))
+        self.log = tmp / "log"
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "indigokeel"],
+            cwd=ROOT,
+            env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(config)},
+            stderr=self.log.open("wb"),
+        )
+        until(lambda: self.process.poll() is not None or self.ready())
+
+    def ready(self) -> bool:
+        try:
+            return self.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")[0] in (200, 503)
+        except OSError:
+            return False
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
+
+    def ask(self, raw: bytes) -> tuple[int, Message]:
+        """Send bytes on a new connection and read one answer."""
+        with self.connect() as conn:
+            conn.sendall(raw)
+            return read_answer(conn.makefile("rb"))
+
+    def counters(self) -> dict[str, float]:
+        """What the program prints on SIGUSR1."""
+        seen = self.log.read_text().count("counters ")
+        self.process.send_signal(signal.SIGUSR1)
+        until(lambda: self.log.read_text().count("counters ") > seen and self.log.read_text()[-1] == "\n")
+        return self.last_counters()
+
+    def last_counters(self) -> dict[str, float]:
+        found: dict[str, float] = json.loads(self.log.read_text().rpartition("counters ")[2])
+        return found
+
+
+def read_answer(file: Any) -> tuple[int, Message]:
+    message = read_message(file)
+    if message is None:
+        raise ConnectionError("closed without an answer")
+    return int(message.line.split(" ")[1]), message
+
+
+_ids = iter(range(10**9))
+
+
+def job(
+    name: str = "view", body: bytes | None = None, wait_ms: int = 5000, more: str = "", key: str = "k1"
+) -> bytes:
+    """A job's message; ``more`` holds further header lines."""
+    method = "GET" if body is None else "POST"
+    head = (
+        f"{method} /{name}/{key} HTTP/1.1\r\nHost: a\r\nRequest-Id: {next(_ids):016x}\r\n"
+        f"Request-Class: {name}\r\nTenant: t\r\nRequest-Timeout-Ms: {wait_ms}\r\n{more}"
+    )
+    if body is not None:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + (body or b"")
+
+
+@contextlib.contextmanager
+def running(
+    tmp: Path, *scripts: Callable[[Message], bytes | None], **settings: Any
+) -> Iterator[tuple[Program, list[Peer], Discovery]]:
+    """A program with execute nodes n0, n1 ... of one cell, each doing what its script says."""
+    nodes = [Peer(script) for script in scripts]
+    discovery = Discovery()
+    known = machine_list(*(entry(f"s-{i}", node.port) for i, node in enumerate(nodes)))
+    program = Program(tmp, known, discovery.port, **settings)
+    try:
+        yield program, nodes, discovery
+    finally:
+        program.process.kill()
+        program.process.wait()
+        for peer in (*nodes, discovery):
+            peer.close()
--- /dev/null
+++ b/tests/test_facade.py
@@ -0,0 +1,144 @@
+"""The facade's books: one ending a claim, one answer a job, what is due when."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+
+from indigokeel.decision import interface as api
+from indigokeel.facade import ANSWER_MARGIN, Answer, Claim, Facade, Job, Orders, Outcome, Verdict
+from indigokeel.machine_list import Machine, MachineList
+from tests.conftest import make_settings
+
+NODES = tuple(Machine(f"s-{i}", "127.0.0.1", 30 + i, "z0", "k", 0) for i in range(3))
+
+
+def start(**changes: object) -> Facade:
+    facade = Facade(make_settings(ask_membership=True, **changes), 1, 0.0)
+    assert facade.listed(100.0, MachineList(1, True, NODES), cached=True).watch
+    return facade
+
+
+def take(facade: Facade, now: float = 100.0, **changes: object) -> tuple[Claim, Orders]:
+    job = replace(Job("j", "view", 1.0), **changes)  # type: ignore[arg-type]
+    orders = facade.pick(now, job)
+    return orders.claims[0], orders
+
+
+def test_first_served_claim_answers_and_a_late_one_is_dropped() -> None:
+    facade = start()
+    claim, _ = take(facade)
+    orders = facade.report(100.1, claim, Outcome.SERVED)
+    assert orders.answers == [Answer("j", Verdict.SERVED, claim=0)]
+    assert facade.owed == 0 and not facade.knows("j")
+    assert facade.report(100.2, claim, Outcome.SERVED) == Orders()
+
+
+def test_last_word_comes_before_the_deadline_though_no_claim_returned() -> None:
+    facade = start(limits=api.Limits(max_attempts=1))
+    claim, _ = take(facade)
+    assert claim.until == pytest.approx(101.0 - ANSWER_MARGIN) and facade.begin(claim)
+    given_up, answers = [], []
+    while facade.due() < math.inf:
+        orders = facade.tick(facade.due())
+        given_up += orders.given_up
+        answers += [(a.verdict, facade.owed) for a in orders.answers]
+    # A safe class is refused: harmless, whatever has run.
+    assert given_up == [("j", 0)] and answers == [(Verdict.REFUSED, 0)]
+
+
+@pytest.mark.parametrize(
+    ("name", "outcome", "begun", "again"),
+    [
+        ("pay", Outcome.BROKEN, True, False),
+        ("pay", Outcome.ERROR, True, False),
+        ("pay", Outcome.NO_CONNECTION, False, True),
+        ("pay", Outcome.TURNED_AWAY, True, True),
+        ("order", Outcome.BROKEN, True, True),
+        ("view", Outcome.BROKEN, True, True),
+    ],
+)
+def test_what_may_have_run_is_sent_again_only_where_the_class_allows(
+    name: str, outcome: Outcome, begun: bool, again: bool
+) -> None:
+    facade = start()
+    claim, _ = take(facade, job_class=name)
+    assert not begun or facade.begin(claim)
+    orders = facade.report(100.05, claim, outcome)
+    assert [c.number for c in orders.claims] == ([1] if again else [])
+    assert [a.verdict for a in orders.answers] == ([] if again else [Verdict.FAILED])
+
+
+def test_no_claim_begins_on_a_node_that_has_begun_to_drain() -> None:
+    """The connection came up after the news did."""
+    facade = start()
+    claim, _ = take(facade)
+    node = next(node for node in NODES if node.name == claim.node)
+    orders = facade.listed(100.1, MachineList(2, False, (replace(node, state=api.State.DRAINING),)))
+    assert orders.close_idle == [node.name]
+    assert facade.address(node.name) is None and not facade.begin(claim)
+    assert facade.report(100.1, claim, Outcome.MOOT).claims[0].node != node.name
+
+
+def test_no_claim_begins_for_a_job_that_is_over() -> None:
+    facade = start()
+    claim, _ = take(facade)
+    facade.left(100.1, "j")
+    assert not facade.begin(claim) and facade.owed == 0 and facade.knows("j")
+    facade.report(100.2, claim, Outcome.MOOT)
+    assert not facade.knows("j")
+
+
+def test_max_open_is_refused_at_once_and_with_a_wait() -> None:
+    facade = start(limits=api.Limits(max_open=1, max_retry_after=1.2))
+    take(facade)
+    orders = facade.pick(100.0, Job("k", "view", 1.0))
+    assert orders.answers == [Answer("k", Verdict.REFUSED, 1.2)] and not facade.knows("k")
+
+
+def test_fault_in_the_module_costs_the_job_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    facade = start()
+
+    def fail(now: float, event: object) -> list[api.Action]:
+        raise RuntimeError("odd")
+
+    monkeypatch.setattr(facade._balancer, "handle", fail)
+    orders = facade.pick(100.0, Job("j", "view", 1.0))
+    assert orders.answers == [Answer("j", Verdict.FAILED)] and "odd" in orders.notes[0]
+    assert facade.faults == 1 and facade.owed == 0
+
+
+def test_without_nodes_a_job_is_answered_in_time() -> None:
+    facade = Facade(make_settings(), 1, 0.0)
+    assert not facade.ready()
+    assert facade.pick(100.0, Job("j", "view", 1.0)).claims == []
+    answers = []
+    while facade.due() < math.inf:
+        assert facade.due() < 101.0
+        answers += facade.tick(facade.due()).answers
+    assert len(answers) == 1
+
+
+@pytest.mark.parametrize(("since", "started"), [(0.0, 0.0), (1000.0, 1050.0)])
+def test_start_times_are_mapped_onto_the_one_clock(since: float, started: float) -> None:
+    facade = Facade(make_settings(), 1, 50.0)
+    assert facade._member(replace(NODES[0], since=since)).started == started
+
+
+def test_withdrawn_claim_gets_one_ending(monkeypatch: pytest.MonkeyPatch) -> None:
+    facade = start()
+    claim, _ = take(facade)
+    seen: list[object] = []
+
+    def handle(now: float, event: object) -> list[api.Action]:
+        seen.append(event)
+        return [api.CancelAttempt("j", 0)] if isinstance(event, api.TimerFired) else []
+
+    monkeypatch.setattr(facade._balancer, "handle", handle)
+    while facade.due() < 100.9:
+        facade.tick(facade.due())
+    facade.report(100.9, claim, Outcome.SERVED)
+    endings = [event.ending for event in seen if isinstance(event, api.AttemptEnded)]
+    assert endings == [api.Ending.CANCELLED]
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,159 @@
+"""Tables of cases for what is decoded: machine lists, addresses, configuration, load reports, jobs."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import h11
+import pytest
+
+from indigokeel.config import ConfigError, decode_settings, load_config
+from indigokeel.decision.interface import State
+from indigokeel.machine_list import ListError, decode, parse_address
+from indigokeel.net.http import load_figures
+from indigokeel.net.submitters import MalformedError, read_job
+from tests.peers import SETTINGS, entry, machine_list
+
+
+@pytest.mark.parametrize("text", ["", "a", "a:", ":1", "a:0", "a:65536", "a:x", "a:٣"])
+def test_bad_addresses(text: str) -> None:
+    with pytest.raises(ValueError, match="not an address"):
+        parse_address(text)
+
+
+@pytest.mark.parametrize(("text", "address"), [("a:1", ("a", 1)), ("[::1]:30", ("::1", 30))])
+def test_addresses(text: str, address: tuple[str, int]) -> None:
+    assert parse_address(text) == address
+
+
+def test_machine_list() -> None:
+    gone = {"name": "s-2", "status": "Gone"}
+    data = machine_list(entry("s-1", 30, "Terminating", 3, 1500), gone, index=7, whole=False)
+    news = decode(json.dumps(data).encode())
+    first, second = news.machines
+    assert (news.version, news.whole) == (7, False)
+    assert (first.name, first.port, first.cell, first.since) == ("s-1", 30, 3, 1.5)
+    assert (first.state, second.state) == (State.DRAINING, State.GONE)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        "null",
+        '{"index":1}',
+        '{"index":"x","snapshot":true,"endpoints":[]}',
+        '{"index":1,"snapshot":true,"endpoints":[1]}',
+        '{"index":1,"snapshot":true,"endpoints":null}',
+        '{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"b:1","status":"Odd"}]}',
+        '{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"b","status":"Ready"}]}',
+        '{"index":1,"snapshot":true,"endpoints":[{"name":1,"address":"b:1","status":"Ready"}]}',
+        '{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"b:1","status":"Ready","since_ms":"x"}]}',
+    ],
+)
+def test_what_is_no_machine_list(text: str) -> None:
+    with pytest.raises(ListError):
+        decode(text.encode())
+
+
+@pytest.mark.parametrize(
+    ("text", "figures"),
+    [
+        (None, None),
+        ("", None),
+        ("inflight=7,queue=2,util=0.61", {"in_flight": 7.0, "queued": 2.0, "utilisation": 0.61}),
+        ("qps=-1,util=0.5", {"utilisation": 0.5}),
+        ("util=x, qps=3 ,odd=1,=,latency_ms=20", {"rate": 3.0, "latency": 0.02}),
+        ("util=nan,qps=inf", None),
+    ],
+)
+def test_load_reports(text: str | None, figures: dict[str, float] | None) -> None:
+    assert load_figures(text) == figures
+
+
+GOOD = {"Request-Id": "a1", "Request-Class": "order", "Request-Timeout-Ms": "480", "Idempotency-Key": "k"}
+
+
+def read(target: str, method: str = "POST", **changes: str | None) -> Any:
+    headers = {**GOOD, **{name.replace("_", "-"): value for name, value in changes.items()}, "Host": "a"}
+    pairs = [(name, value) for name, value in headers.items() if value is not None]
+    request = h11.Request(method=method, target=target, headers=pairs)
+    return read_job(request, [], decode_settings(SETTINGS))
+
+
+def test_job() -> None:
+    job, task = read("/order/x/7f?a=/b", Tenant="t", Client_Retry="1", Request_Info="a=1,mutates=1,odd")
+    assert (job.id, job.job_class, job.budget, job.tenant, job.key) == ("a1", "order", 0.48, "t", "7f")
+    assert job.repeat and job.write and job.hint == 0.0
+    assert (task.target, task.key, task.has_body) == (b"/order/x/7f?a=/b", b"k", False)
+    assert read("/order")[0].key == "" and read("/order/", Work_Hint="x")[0].hint == 0.0
+
+
+BAD_TIMES = (None, "", "0", "-5", "1.5", "x", "9" * 10)
+
+
+@pytest.mark.parametrize(
+    ("target", "changes", "status"),
+    [
+        ("/order/1", {"Request_Class": None}, 400),
+        ("/odd/1", {"Request_Class": "odd"}, 400),
+        ("/pay/1", {}, 404),
+        ("/", {}, 404),
+        ("/order/1", {"Request_Id": None}, 400),
+        ("/order/1", {"Request_Id": "x" * 201}, 400),
+        ("/order/1", {"Idempotency_Key": None}, 400),
+        ("/order/1", {"method": "PUT"}, 405),
+        *[
+            ("/order/1", {"Request_Timeout_Ms": bad}, 400)
+            for bad in (None, "", "0", "-5", "1.5", "x", "9" * 10)
+        ],
+    ],
+)
+def test_what_is_no_job(target: str, changes: dict[str, Any], status: int) -> None:
+    with pytest.raises(MalformedError) as found:
+        read(target, **changes)
+    assert found.value.status == status
+
+
+CONFIG = {
+    "name": "n3",
+    "listen": "127.0.0.1:3000",
+    "discovery": "127.0.0.1:85",
+    "seed": "ff",
+    "known": machine_list(),
+    "settings": SETTINGS,
+}
+
+
+def test_config(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    config = load_config({"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "127.0.0.1:4000"})
+    assert (config.name, config.listen[1], config.discovery[1], config.seed) == ("n3", 4000, 85, 255)
+    assert config.settings.limits.max_attempts == 5 and config.sockets == 1024
+
+
+@pytest.mark.parametrize(
+    ("change", "told"),
+    [
+        ({"listen": "nowhere"}, "not an address"),
+        ({"listen": None}, None),
+        ({"seed": "xyz"}, None),
+        ({"settings": []}, "not an object"),
+        ({"settings": {"classes": 1}}, "wrong shape"),
+        ({"settings": {}}, "'classes' is missing"),
+        ({"known": {"index": 1}}, "not a machine list"),
+        ({"limits": 3}, None),
+    ],
+)
+def test_bad_config(tmp_path: Path, change: dict[str, Any], told: str | None) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**CONFIG, **change}))
+    with pytest.raises(ConfigError, match=told):
+        load_config({"BALANCER_CONFIG": str(path)})
+    with pytest.raises(ConfigError):
+        load_config({})
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,222 @@
+"""The program on real sockets, with scripted peers: the life of a job, the four rules, its end."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.peers import (
+    ROOT,
+    WAIT,
+    Message,
+    entry,
+    job,
+    machine_list,
+    ok,
+    read_answer,
+    running,
+    status,
+    until,
+)
+
+
+def echo(message: Message) -> bytes:
+    return ok(message.body or b"none", "Server-Load: util=0.5,qps=10\r\n")
+
+
+def hang(message: Message) -> bytes | None:
+    time.sleep(WAIT)
+    return None
+
+
+def test_jobs_pass_on_unchanged_and_are_counted(tmp_path: Path) -> None:
+    big = os.urandom(64 * 1024)
+    with running(tmp_path, echo) as (program, nodes, _):
+        code, answer = program.ask(job("order", big, 5000, "Idempotency-Key: k7\r\n", key="a/b?c=%20d"))
+        assert (code, answer.body) == (200, big)
+        assert program.ask(job("view"))[1].body == b"none"
+        first, second = nodes[0].got
+        assert first.line == "POST /order/a/b?c=%20d HTTP/1.1" and first.body == big
+        assert first.headers["idempotency-key"] == "k7" and len(first.headers["request-id"]) == 16
+        assert 0 < int(first.headers["request-timeout-ms"]) <= 5000
+        assert "content-length" not in second.headers and second.line.startswith("GET ")
+        counters = program.counters()
+        assert (counters["jobs_taken"], counters["claims_sent"], counters["answers_written"]) == (2, 2, 2)
+        # One connection served both.
+        assert counters["node_connections"] == 1
+
+
+def test_framings_pipelining_and_split_reads(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, nodes, _), program.connect() as conn:
+        chunked = job("pay", more="Transfer-Encoding: chunked\r\n").replace(b"GET ", b"POST ")
+        file = conn.makefile("rb")
+        conn.sendall(job("pay", b"one") + chunked + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        assert read_answer(file)[1].body == b"one" and read_answer(file)[1].body == b"abc"
+        for byte in job("pay", b"xyz"):
+            conn.sendall(bytes([byte]))
+        assert read_answer(file)[1].body == b"xyz"
+        conn.sendall(job("pay", b"late", more="Expect: 100-continue\r\n")[:-4])
+        assert file.readline().startswith(b"HTTP/1.1 100") and file.readline() == b"\r\n"
+        conn.sendall(b"late")
+        assert read_answer(file)[1].body == b"late"
+        conn.sendall(job(more="Connection: close\r\n"))
+        assert read_answer(file)[0] == 200 and file.read() == b""
+        assert len(nodes[0].got) == 5
+
+
+@pytest.mark.parametrize(
+    ("raw", "code"),
+    [
+        (b"garbage\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 40_000, 431),
+        (b"POST /pay/1 HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+        (job("pay", b"z" * (64 * 1024 + 1)), 413),
+        (job("pay", more="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST") + b"zz\r\n", 400),
+    ],
+)
+def test_malformed_messages_are_told_and_the_connection_closed(tmp_path: Path, raw: bytes, code: int) -> None:
+    with running(tmp_path, echo) as (program, nodes, _):
+        with program.connect() as conn:
+            conn.sendall(raw)
+            file = conn.makefile("rb")
+            assert read_answer(file)[0] == code and file.read() == b""
+        assert program.ask(b"GET /odd HTTP/1.1\r\nHost: a\r\n\r\n")[0] == 400
+        assert nodes[0].got == [] and program.ask(job())[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("answer", "code"),
+    [
+        (b"what is this\r\n\r\n", 500),
+        (b"!HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", 500),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, 500),
+        (status(500, "Server-Load: util=-1,,=\r\n"), 500),
+        (status(503), 500),
+        (status(503, "Not-Started: 1\r\n"), 503),
+        (None, 500),
+    ],
+)
+def test_bad_answer_of_a_node_is_an_ending_and_is_not_sent_again(
+    tmp_path: Path, answer: bytes | None, code: int
+) -> None:
+    """Rule 2: only the node's own word proves that an unsafe job has not run."""
+
+    with running(tmp_path, lambda message: answer) as (program, nodes, _):
+        assert program.ask(job("pay", b"x", 400))[0] == code
+        assert len(nodes[0].got) == 1 and program.process.poll() is None
+
+
+def test_turned_away_job_is_served_elsewhere(tmp_path: Path) -> None:
+    turned = status(503, "Not-Started: 1\r\n")
+    with running(tmp_path, lambda m: turned, echo, lambda m: turned) as (program, _, _d):
+        got = [program.ask(job("pay", b"x", 600))[0] for _ in range(8)]
+        assert 200 in got and set(got) <= {200, 503}
+
+
+def test_rule_1_hung_nodes_do_not_hold_the_answer_past_the_deadline(tmp_path: Path) -> None:
+    with running(tmp_path, hang, hang) as (program, _, _d):
+        assert program.ask(job("pay", b"x", 300))[0] == 500
+        assert program.counters()["claim_given_up"] == 1
+
+
+def test_rule_3_nothing_goes_to_a_node_that_drains(tmp_path: Path) -> None:
+    with running(tmp_path, echo, echo) as (program, nodes, discovery):
+        drained = machine_list(entry("s-0", nodes[0].port, "Terminating"), index=2, whole=False)
+        discovery.push(json.dumps(drained).encode())
+        until(lambda: program.counters().get("machine_lists") == 1)
+        for _ in range(12):
+            assert program.ask(job())[0] == 200
+        assert nodes[0].got == [] and len(nodes[1].got) == 12
+        discovery.push(json.dumps(machine_list(index=3)).encode())
+        until(lambda: program.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")[0] == 503)
+
+
+def test_rule_4_a_fresh_node_gets_less(tmp_path: Path) -> None:
+    with running(tmp_path, echo, echo) as (program, nodes, discovery):
+        fresh = entry("s-9", nodes[0].port, since_ms=int(time.time() * 1000))
+        old = entry("s-1", nodes[1].port)
+        discovery.push(json.dumps(machine_list(fresh, old, index=2)).encode())
+        until(lambda: program.counters().get("machine_lists") == 1)
+        for _ in range(60):
+            assert program.ask(job())[0] == 200
+        assert 0 < len(nodes[0].got) < 25
+
+
+def test_watch_that_ends_or_cannot_be_read_is_asked_for_again(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, nodes, discovery):
+        discovery.push(b"")
+        discovery.push(b"{not json")
+        until(lambda: len(discovery.watches) == 2)
+        changed = machine_list(entry("s-0", nodes[0].port), index=9, whole=False)
+        discovery.push(json.dumps(changed).encode())
+        until(lambda: program.counters().get("machine_lists") == 1)
+        discovery.watches[-1].shutdown(socket.SHUT_RDWR)
+        until(lambda: len(discovery.watches) == 3)
+        assert discovery.got[-1].line == "GET /catalog/members?watch=1&after=9 HTTP/1.1"
+        assert program.ask(job())[0] == 200 and program.counters()["watches_ended"] == 2
+
+
+def test_submitter_that_leaves_is_noticed_while_its_job_runs(tmp_path: Path) -> None:
+    with running(tmp_path, hang) as (program, nodes, _):
+        with program.connect() as conn:
+            conn.sendall(job("pay", b"x"))
+            until(lambda: len(nodes[0].got) == 1)
+            assert program.counters()["owed"] == 1
+        until(lambda: program.counters().get("submitters_left") == 1)
+        assert program.counters()["owed"] == 0
+
+
+def test_idle_connection_that_the_node_closed_is_not_used(tmp_path: Path) -> None:
+    with running(tmp_path, lambda message: b"!" + echo(message)) as (program, nodes, _):
+        for count in (1, 2):
+            assert program.ask(job("pay", b"x"))[0] == 200
+            until(lambda: nodes[0].closed == count)  # noqa: B023
+        assert program.counters()["node_connections"] == 2 and len(nodes[0].got) == 2
+
+
+def test_sigterm_answers_what_was_taken_and_ends(tmp_path: Path) -> None:
+    go = threading.Event()
+
+    def slow(message: Message) -> bytes:
+        go.wait(WAIT)
+        return echo(message)
+
+    with running(tmp_path, slow) as (program, nodes, _), program.connect() as idle, program.connect() as conn:
+        conn.sendall(job("pay", b"x", 15_000))
+        until(lambda: len(nodes[0].got) == 1)
+        program.process.send_signal(signal.SIGTERM)
+        # The idle connection is closed once nothing new is taken; the job's is not.
+        assert idle.recv(1) == b""
+        go.set()
+        code, answer = read_answer(conn.makefile("rb"))
+        assert (code, answer.body, answer.headers["connection"]) == (200, b"x", "close")
+        assert program.process.wait(WAIT) == 0
+        counters = program.last_counters()
+        assert (counters["owed"], counters["jobs_served"]) == (0, 1)
+
+
+@pytest.mark.parametrize("text", [None, "", "{}", "[1]", '{"listen":"x"}'])
+def test_bad_configuration_is_one_line_and_exit_2(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "indigokeel"],
+        cwd=ROOT,
+        env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.startswith("indigokeel: bad configuration: ") and done.stderr.count("\n") == 1
