Check a keyed repeat's window again before its first byte; bound the log by rate

Tests: the window's table in test_facade.py; running out of descriptors and the bound on connections in test_program.py.

--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -96,18 +96,19 @@
 
 
 class _OpenClaim:
-    __slots__ = ("begun", "ended", "node", "sent")
+    __slots__ = ("begin_by", "begun", "ended", "may_have_run", "node", "sent")
 
-    def __init__(self, node: str, sent: float) -> None:
-        self.node, self.sent = node, sent
+    def __init__(self, node: str, sent: float, begin_by: float) -> None:
+        self.node, self.sent, self.begin_by = node, sent, begin_by
         self.begun = self.ended = False
+        self.may_have_run = True  # until its ending proves otherwise
 
 
 class _OpenJob:
-    __slots__ = ("answer_by", "claims", "id", "out", "over")
+    __slots__ = ("answer_by", "claims", "id", "out", "over", "repeat_window")
 
-    def __init__(self, job_id: str, answer_by: float) -> None:
-        self.id, self.answer_by = job_id, answer_by
+    def __init__(self, job_id: str, answer_by: float, repeat_window: float) -> None:
+        self.id, self.answer_by, self.repeat_window = job_id, answer_by, repeat_window
         self.claims: list[_OpenClaim] = []
         self.out = 0  # claims without an ending
         self.over = False
@@ -121,6 +122,9 @@
         self._balancer = Balancer(settings, seed)
         self._limits = settings.limits
         self._aims = {cls.name: cls.aim for cls in settings.classes}
+        self._windows = {
+            cls.name: cls.repeat_window for cls in settings.classes if cls.effect is api.Effect.KEYED
+        }
         self._unix_to_clock = unix_to_clock
         self._jobs: dict[str, _OpenJob] = {}
         self._machines: dict[str, Machine] = {}
@@ -150,14 +154,18 @@
             return None
         return machine.host, machine.port
 
-    def begin(self, claim: Claim) -> bool:
+    def begin(self, now: float, claim: Claim) -> bool:
         """Asked right before a claim's first byte is written: whether it may still go out.
 
-        Guards against the drain, or the answer, that came while a connection was being made."""
+        Guards against what came to pass while a connection was being made: the node began to drain, the
+        job was answered, or the time ran out in which a keyed job may be repeated."""
         job = self._jobs.get(claim.job)
-        if job is None or job.over or job.claims[claim.number].ended or self.address(claim.node) is None:
+        if job is None or job.over or self.address(claim.node) is None:
             return False
-        job.claims[claim.number].begun = True
+        opened = job.claims[claim.number]
+        if opened.ended or now >= opened.begin_by:
+            return False
+        opened.begun = True
         return True
 
     # --- what network code tells --------------------------------------------------------------------
@@ -171,7 +179,7 @@
         if job.id in self._jobs:
             raise ValueError(f"a job of this id is open: {job.id}")
         answer_by = now + self._time_for(job)
-        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by)
+        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, self._windows.get(job.job_class, math.inf))
         self.owed += 1
         self._enter(answer_by, lambda late, more: self._expire(late, opened, more))
         event = api.RequestArrived(
@@ -293,6 +301,7 @@
     ) -> None:
         claim = job.claims[number]
         claim.ended = True
+        claim.may_have_run = not outcome.value.never_ran
         job.out -= 1
         if outcome is Outcome.SERVED and not job.over:
             self._over(job)
@@ -375,11 +384,12 @@
         if job is None:
             return
         number = len(job.claims)
-        opened = _OpenClaim(send.upstream, now)
+        anchor = next((claim.sent for claim in job.claims if claim.may_have_run), math.inf)
+        opened = _OpenClaim(send.upstream, now, anchor + job.repeat_window)
         job.claims.append(opened)
         moot = job.over or now >= job.answer_by or number >= self._limits.max_attempts
         if moot or self.address(send.upstream) is None:
-            opened.ended = True
+            opened.ended, opened.may_have_run = True, False
             events.append(
                 api.AttemptEnded(send.id, send.upstream, number, api.Ending.NEVER_SENT, 0.0, job.over)
             )
--- a/indigokeel/net/counters.py
+++ b/indigokeel/net/counters.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections import Counter
 
 import orjson
 
-_LOG_MOST = 500  # lines; a log counts as memory where it is kept, and no fault may flood it
+# A log counts as memory where it is kept, and no fault may flood it: so many lines at once, then so many a
+# second. What is left out is counted.
+_LOG_BURST = 200.0
+_LOG_RATE = 0.5
 
 
 class Counters:
@@ -16,7 +20,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._counts: Counter[str] = Counter()
-        self._lines = 0
+        self._lines, self._refilled = _LOG_BURST, time.monotonic()
 
     def add(self, what: str, amount: int = 1) -> None:
         self._counts[what] += amount
@@ -26,9 +30,14 @@
 
     def log(self, text: str) -> None:
         """Write a line for the operators; past the bound only counters tell."""
-        self._lines += 1
-        if self._lines <= _LOG_MOST:
-            self._write(" ".join(text.split())[:500])
+        now = time.monotonic()
+        self._lines = min(self._lines + _LOG_RATE * (now - self._refilled), _LOG_BURST)
+        self._refilled = now
+        if self._lines < 1.0:
+            self.add("log_lines_left_out")
+            return
+        self._lines -= 1.0
+        self._write(" ".join(text.split())[:500])
 
     def dump(self, **figures: float) -> None:
         """Print all counters; never held back by the bound on log lines."""
--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -70,8 +70,9 @@
                 self._counters.add("machine_lists")
                 self._listed(news)
             return True
-        except (*http.BROKEN, trio.TooSlowError, ListError) as error:
-            # A message that cannot be read fails the call: what it said is asked for again.
+        except Exception as error:
+            # Broken, too slow, not a machine list: whatever it was, the call has failed and is told so,
+            # or the module would wait for ever and the list grow old.
             self._counters.add("discovery_failures")
             self._counters.log(f"discovery: {type(error).__name__}: {error}")
             return False
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -122,7 +122,7 @@
         keep = False
         try:
             # The node may have begun to drain, or the job be over, while the connection came up.
-            if not self._facade.begin(claim):
+            if not self._facade.begin(trio.current_time(), claim):
                 keep = wire.http.our_state is h11.IDLE
                 return Reply(Outcome.MOOT)
             remaining = max(int((claim.until - trio.current_time()) * 1000.0), 1)
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -138,7 +138,9 @@
             await self._turn_down(error.status, str(error))
         except http.BodyTooLargeError:
             await self._turn_down(413, "the body is too large")
-        except (*http.BROKEN, trio.TooSlowError):
+        except trio.TooSlowError:
+            await self._turn_down(408, "the message took too long")
+        except http.BROKEN:
             self._counters.add("submitter_connections_broken")
         except Exception as error:  # a fault costs this connection and no other
             self._counters.add("session_faults")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -166,7 +166,7 @@
 class Program:
     """The program, started as ``run`` starts it."""
 
-    def __init__(self, tmp: Path, known: dict[str, Any], discovery: int, **settings: Any) -> None:
+    def __init__(self, tmp: Path, known: dict[str, Any], discovery: int, sockets: int) -> None:
         self.port = free_port()
         config = tmp / "config.json"
         data = {
@@ -174,9 +174,9 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{discovery}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": 256},
+            "limits": {"sockets": sockets},
             "known": known,
-            "settings": {**SETTINGS, **settings},
+            "settings": SETTINGS,
         }
         config.write_text(json.dumps(data))
         self.log = tmp / "log"
@@ -241,13 +241,13 @@
 
 @contextlib.contextmanager
 def running(
-    tmp: Path, *scripts: Callable[[Message], bytes | None], **settings: Any
+    tmp: Path, *scripts: Callable[[Message], bytes | None], sockets: int = 256
 ) -> Iterator[tuple[Program, list[Peer], Discovery]]:
     """A program with execute nodes n0, n1 ... of one cell, each doing what its script says."""
     nodes = [Peer(script) for script in scripts]
     discovery = Discovery()
     known = machine_list(*(entry(f"s-{i}", node.port) for i, node in enumerate(nodes)))
-    program = Program(tmp, known, discovery.port, **settings)
+    program = Program(tmp, known, discovery.port, sockets)
     try:
         yield program, nodes, discovery
     finally:
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -48,7 +48,7 @@
 def test_last_word_comes_before_the_deadline_though_no_claim_returned() -> None:
     facade = start(limits=api.Limits(max_attempts=1))
     claim, _ = take(facade)
-    assert claim.until == pytest.approx(101.0 - ANSWER_MARGIN) and facade.begin(claim)
+    assert claim.until == pytest.approx(101.0 - ANSWER_MARGIN) and facade.begin(100.0, claim)
     given_up, answers = [], []
     while facade.due() < math.inf:
         orders = facade.tick(facade.due())
@@ -74,7 +74,7 @@
 ) -> None:
     facade = start()
     claim, _ = take(facade, job_class=name)
-    assert not begun or facade.begin(claim)
+    assert not begun or facade.begin(100.0, claim)
     orders = facade.report(100.05, claim, outcome)
     assert [c.number for c in orders.claims] == ([1] if again else [])
     assert [a.verdict for a in orders.answers] == ([] if again else [Verdict.FAILED])
@@ -87,7 +87,7 @@
     node = next(node for node in NODES if node.name == claim.node)
     orders = facade.listed(100.1, MachineList(2, False, (replace(node, state=api.State.DRAINING),)))
     assert orders.close_idle == [node.name]
-    assert facade.address(node.name) is None and not facade.begin(claim)
+    assert facade.address(node.name) is None and not facade.begin(100.1, claim)
     assert facade.report(100.1, claim, Outcome.MOOT).claims[0].node != node.name
 
 
@@ -95,11 +95,21 @@
     facade = start()
     claim, _ = take(facade)
     facade.left(100.1, "j")
-    assert not facade.begin(claim) and facade.owed == 0 and facade.knows("j")
+    assert not facade.begin(100.1, claim) and facade.owed == 0 and facade.knows("j")
     facade.report(100.2, claim, Outcome.MOOT)
     assert not facade.knows("j")
 
 
+@pytest.mark.parametrize(("after", "allowed"), [(0.9, True), (1.0, False)])
+def test_keyed_repeat_does_not_begin_after_its_window(after: float, allowed: bool) -> None:
+    """The repeat was decided in time, but its connection came up slowly."""
+    facade = start()
+    claim, _ = take(facade, job_class="order", budget=1.5)
+    facade.begin(100.0, claim)
+    (repeat,) = facade.report(100.05, claim, Outcome.BROKEN).claims
+    assert facade.begin(100.0 + after, repeat) is allowed
+
+
 def test_max_open_is_refused_at_once_and_with_a_wait() -> None:
     facade = start(limits=api.Limits(max_open=1, max_retry_after=1.2))
     take(facade)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -183,6 +185,25 @@
         assert program.counters()["node_connections"] == 2 and len(nodes[0].got) == 2
 
 
+def test_running_out_of_descriptors_is_survived(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, _, _d):
+        # The system allows far fewer than the configuration says.
+        soft = len(os.listdir(f"/proc/{program.process.pid}/fd")) + 6
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (soft, soft))
+        with contextlib.ExitStack() as stack:
+            for _ in range(20):
+                stack.enter_context(program.connect())
+            until(lambda: program.counters().get("accept_failures", 0) > 0)
+        until(lambda: program.ask(job())[0] == 200)
+
+
+def test_connections_are_bounded_and_idle_ones_make_room(tmp_path: Path) -> None:
+    with running(tmp_path, echo, sockets=80) as (program, _, _d), contextlib.ExitStack() as stack:
+        idle = [stack.enter_context(program.connect()) for _ in range(12)]
+        assert program.ask(job())[0] == 200
+        assert idle[0].recv(1) == b"" and program.counters()["submitter_connections_open"] <= 8
+
+
 def test_sigterm_answers_what_was_taken_and_ends(tmp_path: Path) -> None:
     go = threading.Event()
 
