Keep serving when nobody reads the log; name reasons; test probe and fetch

Found by reading: a write to a full stderr pipe would have stopped every job, so the log asks poll(2) first and counts what it leaves out. The pool kept an empty list for each node name it ever met; those go now. A 503 to a probe counted as the node's fault.

--- a/indigokeel/net/counters.py
+++ b/indigokeel/net/counters.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import sys
+import os
+import select
 import time
 from collections import Counter
 
@@ -12,6 +13,7 @@
 # second. What is left out is counted.
 _LOG_BURST = 200.0
 _LOG_RATE = 0.5
+_STDERR = 2
 
 
 class Counters:
@@ -45,7 +47,15 @@
         self._write("counters " + orjson.dumps({**counts, **figures}).decode())
 
     def _write(self, text: str) -> None:
+        line = f"indigokeel {self._name}: {text}\n".encode()
         try:
-            print(f"indigokeel {self._name}: {text}", file=sys.stderr, flush=True)
-        except OSError:  # nobody reads the log any more: no reason to stop serving
-            self._counts["log_lost"] += 1
+            # Guards against a log that nobody reads any more: a full pipe would stop every job. One that
+            # is ready takes a line of up to PIPE_BUF without blocking.
+            poll = select.poll()
+            poll.register(_STDERR, select.POLLOUT)
+            if any(found & select.POLLOUT for _, found in poll.poll(0)):
+                os.write(_STDERR, line[: select.PIPE_BUF])
+                return
+        except OSError:
+            pass
+        self._counts["log_lines_left_out"] += 1
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -79,10 +79,12 @@
     def retire(self, now: float) -> None:
         """Close connections that were idle for long."""
         for node, kept in list(self._idle.items()):
-            self._idle[node] = [entry for entry in kept if now - entry[2] < self._idle_most]
-            for wire, _, since in kept:
-                if now - since >= self._idle_most:
-                    self._close(wire)
+            old = [entry for entry in kept if now - entry[2] >= self._idle_most]
+            for entry in old:
+                kept.remove(entry)
+                self._close(entry[0])
+            if not kept:  # names come and go for ever; only those in use are kept
+                del self._idle[node]
 
     async def probe(self, node: str) -> tuple[Outcome, dict[str, float] | None]:
         """Ask an execute node for its load."""
@@ -98,7 +100,8 @@
                 )
                 reply = await self._reply(wire)
                 if reply.outcome is not Outcome.SERVED:
-                    return reply.outcome, reply.load
+                    # 503 is the one other answer to a probe: not now, which is no fault of the node.
+                    return Outcome.TURNED_AWAY, reply.load
                 text = b"".join(reply.body or ()).decode("latin-1")
                 return Outcome.SERVED, reply.load or http.load_figures(text.removeprefix("Server-Load:"))
             except (*http.BROKEN, http.BodyTooLargeError):
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -106,6 +107,10 @@
     return job, task
 
 
+def _head(status: int, headers: http.Headers) -> h11.Response:
+    return h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase.encode())
+
+
 class Session:
     """One submitter's connection."""
 
@@ -234,7 +239,7 @@
         if self._desk.closing and not self._wire.http.trailing_data[0]:
             headers.append((b"Connection", b"close"))
         with trio.fail_after(_MESSAGE_TIME):
-            await self._wire.send_message(h11.Response(status_code=status, headers=headers), pieces)
+            await self._wire.send_message(_head(status, headers), pieces)
 
     async def _turn_down(self, status: int, why: str) -> None:
         """Tell the sender of what cannot be read, if it can be told, before the connection is closed."""
@@ -245,7 +250,7 @@
         headers = [(b"Content-Length", b"%d" % len(text)), (b"Connection", b"close")]
         with trio.move_on_after(1.0):
             try:
-                await self._wire.send_message(h11.Response(status_code=status, headers=headers), [text])
+                await self._wire.send_message(_head(status, headers), [text])
                 self._wire.sock.shutdown(trio.socket.SHUT_WR)
                 # Closing with unread bytes would reset the connection and take the answer with it.
                 while await self._wire.sock.recv(http.READ):
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,71 @@
+"""Parts of the network side that the module does not order under today's settings, on real sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+import trio
+
+from indigokeel.config import decode_settings
+from indigokeel.facade import Facade, Outcome
+from indigokeel.machine_list import MachineList, machine_list
+from indigokeel.net.counters import Counters
+from indigokeel.net.discovery import Discovery
+from indigokeel.net.pool import Pool
+from tests import peers
+
+
+@pytest.mark.parametrize(
+    ("answer", "found"),
+    [
+        (peers.ok(b"inflight=7,util=0.5"), (Outcome.SERVED, {"in_flight": 7.0, "utilisation": 0.5})),
+        (peers.ok(b"", "Server-Load: qps=3\r\n"), (Outcome.SERVED, {"rate": 3.0})),
+        (peers.status(503), (Outcome.TURNED_AWAY, None)),
+        (b"odd", (Outcome.BROKEN, None)),
+        (None, (Outcome.BROKEN, None)),
+    ],
+)
+def test_probe(answer: bytes | None, found: tuple[Outcome, dict[str, float] | None]) -> None:
+    node = peers.Peer(lambda message: b"!" + answer if answer else None)
+    facade = Facade(decode_settings(peers.SETTINGS), 1, 0.0)
+    facade.listed(0.0, machine_list(peers.machine_list(peers.entry("s-0", node.port))))
+    pool = Pool(facade, Counters("t"), 0.25, 30.0, 8)
+    assert trio.run(pool.probe, "s-0") == found and pool.open == 0
+    assert node.got[0].line == "GET /_load HTTP/1.1"
+    node.close()
+    assert trio.run(pool.probe, "s-1") == (Outcome.MOOT, None)
+
+
+@pytest.mark.parametrize(
+    ("answer", "lists", "failures"),
+    [
+        (peers.ok(json.dumps(peers.machine_list(index=5)).encode()), 1, 0),
+        (peers.ok(b"[]"), 0, 1),
+        (peers.status(503), 0, 1),
+        (None, 0, 1),
+    ],
+)
+def test_whole_list_is_fetched_or_its_failure_told_once(
+    answer: bytes | None, lists: int, failures: int
+) -> None:
+    server = peers.Peer(lambda message: answer)
+    got: list[MachineList] = []
+    failed: list[None] = []
+    discovery = Discovery(("127.0.0.1", server.port), Counters("t"), got.append, lambda: failed.append(None))
+    trio.run(discovery.fetch)
+    assert (len(got), len(failed), discovery.version) == (lists, failures, 5 * lists)
+    server.close()
+
+
+def test_log_that_nobody_reads_stops_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader, writer = os.pipe()
+    monkeypatch.setattr("indigokeel.net.counters._STDERR", writer)
+    counters = Counters("t")
+    for _ in range(500):
+        counters.dump(figure=1.0)
+        counters.add("x" * 100)
+    assert counters["log_lines_left_out"] > 0
+    os.close(reader)
+    os.close(writer)
