Choose at random when all that the filter leaves is cold: failback was broken

Cause, in balancer.py _spin and _cap_cold: a fresh upstream has no report, so the filter keeps it while it strikes out busy warm ones. With half of them struck out there is no random fallback yet, and _cap_cold caps cold slices against the warm ones among the chosen: with none there, nothing is capped. Now that case falls back to random choice among all candidates, with the cap.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -471,6 +471,9 @@
                     total += upstream.rate / upstream.size
                     known += 1
         fallback = len(survivors) < len(candidates) * (1.0 - LOW_LOAD_RATIO)
+        # A cold upstream reports nothing and survives; alone it must not take what all others are struck
+        # out for.
+        fallback = fallback or all(u.ramp < 1.0 for u in survivors)
         self._note_fallback(fallback)
         if fallback or total <= 0.0:  # at random; only size, ramp and own trouble count
             chosen = candidates if fallback else survivors
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -315,3 +315,14 @@
     driver.balancer.handle(driver.now, api.AnswerStarted(name, send.upstream, 0))
     driver.now += timer.delay
     assert not sends(driver.balancer.handle(driver.now, api.TimerFired(timer.token)))
+
+
+def test_cold_survivors_do_not_take_what_the_busy_warm_ones_are_struck_out_for() -> None:
+    """Found on an overload day: half the fleet was busy, the other half cold and without reports."""
+    members = make_members(4)
+    driver = Driver(make_settings(), members)
+    teach(driver, {m.id: load(20.0, 1.0) for m in members[:2]})
+    fresh = tuple(replace(m, started=driver.now) for m in members[2:])
+    driver.news(fresh)
+    got = picks(driver, 300)
+    assert sum(got.get(m.id, 0) for m in fresh) < 150
