--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -470,10 +470,11 @@
                 if upstream.rate >= 0.0:
                     total += upstream.rate / upstream.size
                     known += 1
-        fallback = len(survivors) < len(candidates) * (1.0 - LOW_LOAD_RATIO)
-        # A cold upstream reports nothing and survives; alone it must not take what all others are struck
-        # out for.
-        fallback = fallback or all(u.ramp < 1.0 for u in survivors)
+        # Only warm upstreams are counted: a cold one has not reported yet and survives, which shows no room.
+        # Guards against a cold one that is left to take what the warm ones are struck out for.
+        warm = sum(u.ramp >= 1.0 for u in candidates)
+        warm_left = sum(u.ramp >= 1.0 for u in survivors)
+        fallback = not survivors or warm_left < warm * (1.0 - LOW_LOAD_RATIO)
         self._note_fallback(fallback)
         if fallback or total <= 0.0:  # at random; only size, ramp and own trouble count
             chosen = candidates if fallback else survivors
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -326,3 +326,15 @@
     driver.news(fresh)
     got = picks(driver, 300)
     assert sum(got.get(m.id, 0) for m in fresh) < 150
+
+
+def test_cold_upstream_beside_few_warm_survivors_is_capped_by_a_random_choice() -> None:
+    """Found on a small overload day: one warm and one cold were left of eight, and shared all traffic."""
+    members = make_members(6)
+    driver = Driver(make_settings(), members)
+    teach(driver, {m.id: load(20.0, 1.0 if i < 3 else 0.5) for i, m in enumerate(members[:4])})
+    fresh = tuple(replace(m, started=driver.now) for m in members[4:])
+    driver.news(fresh)
+    got = picks(driver, 300)
+    assert all(got.get(m.id, 0) > 0 for m in members[:3])
+    assert sum(got.get(m.id, 0) for m in fresh) < 100
