--- a/indigokeel/__main__.py
+++ b/indigokeel/__main__.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-import trio
+import uvloop
 
 from indigokeel.config import ConfigError, load_config
 from indigokeel.net.sidecar import serve
@@ -26,7 +26,7 @@
     # Guards against a SIGHUP that comes before the sidecar listens for it, or while it ends.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        trio.run(serve, config)
+        uvloop.run(serve(config))
     except OSError as error:
         print(f"indigokeel: cannot serve: {error}", file=sys.stderr)
         return 1
--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 
-import h11
-import trio
+import httptools
 
 from indigokeel.machine_list import ListError, MachineList, decode
 from indigokeel.net import http
@@ -16,6 +16,7 @@
 _HEAD = 6.0  # s for an answer to begin: calls wait in turn there
 _SILENCE = 7.0  # s; an empty line comes every 2 s, so a watch that says nothing for this long is cut off
 _MOST = 1 << 20  # bytes of one message
+_READ = 64 * 1024  # bytes asked of the connection at a time
 
 
 class Discovery:
@@ -30,13 +31,13 @@
     ) -> None:
         self._address, self._counters = address, counters
         self._listed, self._failed = listed, failed
-        self._watches: dict[int, trio.CancelScope] = {}  # by serial number: one, but while it moves
+        self._watches: dict[int, asyncio.Task[None]] = {}  # by serial number: one, but while it moves
         self._begun = 0  # watches so far
         self.version = 0
 
     async def watch(self) -> None:
         """Watch until it ends, then say so once. One watch at a time."""
-        if not self._watches:
+        if self._begun not in self._watches:
             await self._watch()
 
     async def move(self, address: tuple[str, int]) -> None:
@@ -46,8 +47,7 @@
             return
         self._address = address
         self._counters.add("discovery_moves")
-        if self._watches:
-            await self._watch()
+        await self._watch()
 
     async def _watch(self) -> None:
         self._begun += 1
@@ -58,12 +58,17 @@
                 if serial < mine:
                     older.cancel()
 
-        with trio.CancelScope() as scope:
-            self._watches[mine] = scope
-            try:
-                await self._call(b"%s?watch=1&after=%d" % (_PATH, self.version), up)
-            finally:
-                del self._watches[mine]
+        task = asyncio.current_task()
+        assert task is not None
+        self._watches[mine] = task
+        try:
+            await self._call(b"%s?watch=1&after=%d" % (_PATH, self.version), up)
+        except asyncio.CancelledError:
+            if mine == self._begun:  # not by a newer watch, but because the program ends
+                raise
+            task.uncancel()
+        finally:
+            del self._watches[mine]
         if mine == self._begun:  # else a newer one has taken its place
             self._counters.add("watches_ended")
             self._failed()
@@ -77,19 +82,19 @@
         """Hand on each message of one call; False if it failed before its end. ``up`` is called once it
         is answered."""
         self._counters.add("discovery_calls")
-        wire = None
+        writer = None
         try:
-            with trio.fail_after(_CONNECT):
-                wire = await http.connect(self._address, h11.CLIENT)
-            host = f"{self._address[0]}:{self._address[1]}".encode()
-            await wire.send_message(h11.Request(method=b"GET", target=target, headers=[(b"Host", host)]))
-            with trio.fail_after(_HEAD):
-                event = await wire.next_event()
-            if not isinstance(event, h11.Response) or event.status_code != 200:
+            async with asyncio.timeout(_CONNECT):
+                reader, writer = await asyncio.open_connection(*self._address)
+            writer.write(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, http.host(self._address)))
+            answer = _Answer(reader)
+            async with asyncio.timeout(_HEAD):
+                await answer.head()
+            if answer.status != 200:
                 self._counters.add("discovery_refusals")
                 return False
             up()
-            async for line in _lines(wire):
+            async for line in answer.lines():
                 news = decode(line)
                 if not news.whole and news.version < self.version:
                     continue  # the watch before this one has told it already, and more
@@ -104,23 +109,61 @@
             self._counters.log(f"discovery: {type(error).__name__}: {error}")
             return False
         finally:
-            if wire is not None:
-                wire.close()
-
-
-async def _lines(wire: http.Wire) -> AsyncIterator[bytes]:
-    """The lines of an answer's body; empty ones, which only show that it lives, are left out."""
-    rest = b""
-    while True:
-        with trio.fail_after(_SILENCE):
-            event = await wire.next_event()
-        if not isinstance(event, h11.Data):
-            if rest.strip():
-                yield rest
-            return
-        *whole, rest = (rest + bytes(event.data)).split(b"\n")
-        if len(rest) > _MOST:
-            raise ListError("a message without an end")
-        for line in whole:
-            if line.strip():
-                yield line
+            if writer is not None:
+                writer.transport.abort()
+
+
+class _Answer:
+    """Reads one answer of discovery, whose body may go on for ever. httptools calls the ``on_`` methods."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
+        self._parser = httptools.HttpResponseParser(self)
+        self._rest = b""
+        self._complete = self._framed = False
+        self.status = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._framed = self._framed or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        self.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        self._rest += data
+
+    def on_message_complete(self) -> None:
+        self._complete = self.status >= 200
+
+    async def _read(self) -> bool:
+        data = await self._reader.read(_READ)
+        if data:
+            self._parser.feed_data(data)
+        elif self._framed and not self._complete:
+            raise ListError("the answer breaks off")
+        return bool(data)
+
+    async def head(self) -> None:
+        """Wait for the head of the final answer."""
+        size = 0
+        while self.status < 200:
+            size += 1
+            if size > _MOST // _READ or not await self._read():
+                raise ListError("an answer without a head")
+
+    async def lines(self) -> AsyncIterator[bytes]:
+        """The lines of the body; empty ones, which only show that it lives, are left out."""
+        more = True
+        while more:
+            *whole, self._rest = self._rest.split(b"\n")
+            if len(self._rest) > _MOST:
+                raise ListError("a message without an end")
+            for line in whole:
+                if line.strip():
+                    yield line
+            if self._complete:
+                break
+            async with asyncio.timeout(_SILENCE):
+                more = await self._read()
+        if self._rest.strip():
+            yield self._rest
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -1,26 +1,23 @@
-"""HTTP/1.1 on one socket: h11 for the protocol, vectored writes so that bodies are not copied again."""
+"""HTTP/1.1: bounds, heads to write, load reports, and what both sides ask of a socket.
+
+The messages themselves are read by httptools (llhttp), which is strict: it takes no message with two
+lengths, none with a length that is no number, and none whose head holds what no head may.
+"""
 
 from __future__ import annotations
 
 import errno
 import math
+import os
 import select
 import socket
-from collections.abc import Iterable, Sequence
-
-import h11
-import trio
+from collections.abc import Sequence
+from http import HTTPStatus
 
 MAX_HEAD = 16 * 1024  # bytes of a message's head
 MAX_BODY = 64 * 1024  # bytes of a body, by the protocol
-READ = 64 * 1024  # bytes asked of a socket at a time
-_MOST_PIECES = 64  # of one vectored write, well under the system's bound
 
-Headers = list[tuple[bytes, bytes]]
-Body = list[memoryview]
-
-# What a connection that is broken, refused or unreachable raises here.
-BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
+Body = list[bytes]  # the pieces of a body as they were read
 
 _LOAD_FIELDS = {
     "util": "utilisation",
@@ -30,132 +27,70 @@
     "latency_ms": "latency",
     "eps": "error_rate",
 }
+# What a figure may be at most: past it the report was spoilt on its way, and it is taken for missing.
+# Utilisation may stand a little over 1, for reports are noisy.
+_LOAD_MOST = {"utilisation": 2.0, "error_rate": 1e5, "latency": 1e6}
+_LOAD_MOST_ELSE = 1e5
 
 
-class BodyTooLargeError(Exception):
-    """A body over the protocol's bound."""
-
-
-class Wire:
-    """One connection: a socket, and what h11 knows of the messages on it."""
-
-    def __init__(self, sock: trio.socket.SocketType, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
-        self.sock = sock
-        self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
-        self.wrote_whole = False  # the last message's last byte is with the system
-
-    async def receive(self) -> bool:
-        """Read once and hand it to h11; False at the end of the stream."""
-        data = await self.sock.recv(READ)
-        self.http.receive_data(data)
-        return bool(data)
-
-    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
-        """The next event, reading as needed; asks for a body that waits to be asked for."""
-        while True:
-            event = self.http.next_event()
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            if self.http.they_are_waiting_for_100_continue:
-                await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self.receive()
-
-    async def read_body(self, most: int = MAX_BODY) -> Body:
-        """The body of the message whose head was read, as views of the pieces h11 hands out."""
-        pieces: Body = []
-        size = 0
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > most:
-                    raise BodyTooLargeError
-                pieces.append(memoryview(event.data))
-                if len(pieces) >= _MOST_PIECES:  # a body in crumbs: joined, so that they stay few
-                    pieces = [memoryview(b"".join(pieces))]
-            elif isinstance(event, h11.EndOfMessage):
-                return pieces
-            else:
-                raise h11.RemoteProtocolError("the message ends before its body")
-
-    async def send(self, *events: h11.Event) -> None:
-        """Write events in one go."""
-        self.wrote_whole = False
-        pieces: list[bytes] = []
-        for event in events:
-            pieces += self.http.send_with_data_passthrough(event) or ()
-        await _write(self.sock, pieces)
-        self.wrote_whole = True
-
-    async def send_message(self, head: h11.Event, body: Sequence[memoryview] = ()) -> None:
-        """Write a whole message."""
-        # h11 passes data through as it is, so views do.
-        data = [h11.Data(data=piece) for piece in body]  # type: ignore[arg-type]
-        await self.send(head, *data, h11.EndOfMessage())
-
-    def readable(self) -> bool:
-        """Whether there is something to read. On an idle connection to an execute node that is its end,
-        or what nobody asked for; on one from a submitter its end or a job."""
-        return readable(self.sock)
-
-    def close(self) -> None:
-        self.sock.close()
-
-
-async def _write(sock: trio.socket.SocketType, pieces: Iterable[bytes]) -> None:
-    left = [memoryview(piece) for piece in pieces if len(piece)]
-    while left:
-        sent = await sock.sendmsg(left[:_MOST_PIECES])
-        while left and sent >= len(left[0]):
-            sent -= len(left.pop(0))
-        if sent:
-            left[0] = left[0][sent:]
-
-
-async def connect(address: tuple[str, int], role: type[h11.CLIENT]) -> Wire:
-    """Open a connection; a cancelled or failed one leaves no descriptor behind."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = trio.socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await sock.connect(address)
-    except BaseException:
-        sock.close()
-        raise
-    return Wire(sock, role)
-
-
-def readable(sock: trio.socket.SocketType) -> bool:
-    """Whether a read, or an accept, would find something now."""
+def readable(fd: int) -> bool:
+    """Whether a read would find something now: bytes, or the end of the stream."""
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
+    poll.register(fd, select.POLLIN)
     return bool(poll.poll(0))
 
 
-def out_of_descriptors(error: OSError) -> bool:
-    return error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+def write(fd: int, pieces: Sequence[bytes]) -> int:
+    """Write at once what the system takes, and say how many bytes that was; raises OSError on a broken
+    connection. Beside the event loop, which writes a little later and does not tell how far it came."""
+    try:
+        return os.writev(fd, pieces)
+    except OSError as error:
+        if error.errno in (errno.EAGAIN, errno.EINTR):
+            return 0
+        raise
+
+
+def response(status: int, body: Body, retry_in: float = 0.0, close: bool = False) -> list[bytes]:
+    """A whole answer, head first."""
+    head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (
+        status,
+        HTTPStatus(status).phrase.encode(),
+        sum(map(len, body)),
+    )
+    if retry_in > 0.0:
+        head += b"Retry-After: %.3f\r\n" % retry_in
+    return [head + (b"Connection: close\r\n\r\n" if close else b"\r\n"), *body]
 
 
-def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
-    """One header's value; h11 gives names in lower case. None where it is missing."""
-    for key, value in headers:
-        if key == name:
-            return value.decode("latin-1")
-    return None
+def host(address: tuple[str, int]) -> bytes:
+    return f"{address[0]}:{address[1]}".encode()
 
 
 def load_figures(text: str | None) -> dict[str, float] | None:
-    """Read a load report, ``name=value,name=value``. What is missing, -1 or no number stays missing."""
+    """Read a load report, ``name=value,name=value``. What is missing, -1, no number or absurd stays
+    missing."""
     if not text:
         return None
     figures: dict[str, float] = {}
     for pair in text.split(","):
         name, _, value = pair.partition("=")
         known = _LOAD_FIELDS.get(name.strip())
+        if known is None:
+            continue
         try:
             figure = float(value)
         except ValueError:
             continue
-        if known is not None and math.isfinite(figure) and figure >= 0.0:
+        if math.isfinite(figure) and 0.0 <= figure <= _LOAD_MOST.get(known, _LOAD_MOST_ELSE):
             figures[known] = figure / 1000.0 if known == "latency" else figure
     return figures or None
+
+
+def bind(address: tuple[str, int]) -> socket.socket:
+    """The socket to listen on."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    return sock
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import os
+import resource
 import signal
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import trio
-
 from indigokeel.config import Config, ConfigError, reload_discovery
 from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
 from indigokeel.machine_list import MachineList
@@ -21,44 +20,44 @@
 from indigokeel.net.pool import Pool, Reply, Task
 from indigokeel.net.submitters import Final, Session
 
-_RESERVE = 64  # descriptors kept for the log, discovery, the event loop and what the system wants
+_RESERVE = 32  # descriptors kept for the log, discovery, the event loop and what the system wants
+_SUBMITTERS = 0.55  # of the others: for submitters, whose crowds come and go; the rest for execute nodes
 _ACCEPT_ON = 0.5  # s after SIGTERM in which connections are still taken
 _HALF_READ = 0.2  # s after that in which a message that has begun may still become whole
-_HOUSEKEEPING = 1.0  # s between looks at idle connections
+_LOOK = 0.2  # s between looks at connections
+_RETIRE = 5  # looks between those at idle connections to execute nodes
+_YOUNG = 0.5  # s in which a connection is not shed though it has said nothing, where others can be
 _BACKLOG = 512
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
-class _Waiting:
-    """A job whose answer is awaited."""
-
-    __slots__ = ("final", "ready", "task")
-
-    def __init__(self, task: Task) -> None:
-        self.task = task
-        self.ready = trio.Event()
-        self.final = Final(Verdict.FAILED)
-
-
 class Sidecar:
     """One real sidecar."""
 
     def __init__(self, config: Config) -> None:
         self._config = config
         self._counters = Counters(config.name)
-        # One clock: the event loop's. Unix times of the machine list are mapped onto it once.
-        self._facade = Facade(config.settings, config.seed, trio.current_time() - time.time())
+        # One clock, the system's monotonic one. Unix times of the machine list are mapped onto it once.
+        self._facade = Facade(config.settings, config.seed, time.monotonic() - time.time())
         limits = config.settings.limits
-        self._most = max((config.sockets - _RESERVE) // 2, 8)
-        self._pool = Pool(self._facade, self._counters, limits.connect_timeout, limits.keepalive, self._most)
+        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
+        self._most = max(int((sockets - _RESERVE) * _SUBMITTERS), 8)
+        self._pool = Pool(
+            self._facade,
+            self._counters,
+            limits.connect_timeout,
+            limits.keepalive,
+            max(sockets - _RESERVE - self._most, 8),
+        )
         self._discovery = Discovery(config.discovery, self._counters, self._listed, self._list_failed)
         self._discovery.version = config.known.version
-        self._waiting: dict[str, _Waiting] = {}
+        self._waiting: dict[str, tuple[Session, Task]] = {}  # jobs whose answer is awaited
         self._sessions: dict[Session, None] = {}  # in the order they came
+        self._clock: asyncio.TimerHandle | None = None
         self._due_at = math.inf
-        self._due_sooner = trio.Event()
-        self._session_over = trio.Event()
-        self._nursery: trio.Nursery
+        self._tasks: asyncio.TaskGroup
+        self._spawned: set[asyncio.Task[None]] = set()
         self.closing = False
 
     # --- the desk at which submitters stand -----------------------------------------------------------
@@ -69,20 +68,38 @@
     def knows(self, job_id: str) -> bool:
         return self._facade.knows(job_id)
 
-    async def serve(self, arrived: float, job: Job, task: Task) -> Final:
-        """Take a job and wait for its answer."""
-        waiting = self._waiting[job.id] = _Waiting(task)
-        try:
-            self._carry_out(self._facade.pick(arrived, job))
-            await waiting.ready.wait()
-        finally:
-            self._waiting.pop(job.id, None)
-            if not waiting.ready.is_set():  # it left, or its session failed: nobody waits any more
-                self.left(job.id)
-        return waiting.final
+    def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
+        """Take a job; its answer goes to the session, perhaps at once."""
+        self._waiting[job.id] = session, task
+        self._carry_out(self._facade.pick(arrived, job))
 
     def left(self, job_id: str) -> None:
-        self._carry_out(self._facade.left(trio.current_time(), job_id))
+        self._waiting.pop(job_id, None)
+        self._carry_out(self._facade.left(time.monotonic(), job_id))
+
+    def joined(self, session: Session) -> None:
+        self._counters.add("submitter_connections")
+        self._sessions[session] = None
+        if len(self._sessions) > self._most:
+            self._make_room(session)
+
+    def gone(self, session: Session) -> None:
+        self._sessions.pop(session, None)
+
+    def _make_room(self, newest: Session) -> None:
+        """Close one connection so that the newest has a place. Guards against crowds: those that never
+        said anything go first, for on one that did a job may be on its way."""
+        now = time.monotonic()
+        idle = [session for session in self._sessions if session is not newest and session.idle()]
+        silent = [session for session in idle if not session.heard and session.idle_for(now) > _YOUNG]
+        pick = min(silent, key=lambda s: -s.idle_for(now), default=None)
+        if pick is None:
+            pick = min(
+                idle, key=lambda s: (s.heard and s.idle_for(now) < 2.0, -s.idle_for(now)), default=newest
+            )
+        self._counters.add("submitters_shed")
+        pick.abort()
+        self._sessions.pop(pick, None)
 
     # --- what the facade orders -----------------------------------------------------------------------
 
@@ -92,17 +109,16 @@
             self._counters.log(note)
         for job, number in orders.given_up:
             self._pool.give_up(job, number)
+        for claim in orders.claims:
+            waiting = self._waiting.get(claim.job)
+            if waiting is not None:
+                self._pool.start(claim, waiting[1], self._claim_done)
         for answer in orders.answers:
             self._counters.add("jobs_" + answer.verdict.value)
-            waiting = self._waiting.get(answer.job)
+            waiting = self._waiting.pop(answer.job, None)
             if waiting is not None:
                 body = reply.body if reply is not None and answer.verdict is Verdict.SERVED else None
-                waiting.final = Final(answer.verdict, answer.retry_in, body)
-                waiting.ready.set()
-        for claim in orders.claims:
-            waiting = self._waiting.get(claim.job)
-            if waiting is not None:
-                self._spawn("claim", self._pool.run, claim, waiting.task, self._claim_done)
+                waiting[0].answer(Final(answer.verdict, answer.retry_in, body))
         for node in orders.probes:
             self._spawn("probe", self._probe, node)
         for node in orders.close_idle:
@@ -112,124 +128,103 @@
         if orders.fetch:
             self._spawn("fetch", self._discovery.fetch)
         if self._facade.due() < self._due_at:
-            self._due_sooner.set()
+            self._wind()
 
     def _claim_done(self, claim: Claim, reply: Reply) -> None:
-        now = trio.current_time()
+        now = time.monotonic()
         self._carry_out(self._facade.report(now, claim, reply.outcome, reply.load), reply)
 
     async def _probe(self, node: str) -> None:
-        began = trio.current_time()
+        began = time.monotonic()
         outcome, load = Outcome.BROKEN, None
         try:
             outcome, load = await self._pool.probe(node)
         finally:
-            now = trio.current_time()
+            now = time.monotonic()
             self._carry_out(self._facade.probed(now, node, outcome, now - began, load))
 
     def _listed(self, news: MachineList) -> None:
-        self._carry_out(self._facade.listed(trio.current_time(), news))
+        self._carry_out(self._facade.listed(time.monotonic(), news))
 
     def _list_failed(self) -> None:
-        self._carry_out(self._facade.list_failed(trio.current_time()))
+        self._carry_out(self._facade.list_failed(time.monotonic()))
 
     # --- tasks ----------------------------------------------------------------------------------------
 
     def _spawn(self, what: str, call: Callable[..., Awaitable[None]], *args: Any) -> None:
-        self._nursery.start_soon(self._guard, what, call, *args)
+        task = self._tasks.create_task(self._guard(what, call, *args))
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
 
     async def _guard(self, what: str, call: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Run a task. A fault is logged and counted; it never takes the other tasks with it."""
         try:
             await call(*args)
         except Exception as error:
-            self._counters.add("task_faults")
-            self._counters.log(f"fault in {what}: {type(error).__name__}: {error}")
-
-    async def _keep_time(self) -> None:
-        """Call the facade whenever something is due."""
-        while True:
-            self._due_sooner = trio.Event()
-            self._due_at = self._facade.due()
-            with trio.move_on_at(self._due_at):
-                await self._due_sooner.wait()
-            try:
-                self._carry_out(self._facade.tick(trio.current_time()))
-            except Exception as error:  # the clock must go on whatever one entry did
-                self._counters.add("task_faults")
-                self._counters.log(f"fault in tick: {type(error).__name__}: {error}")
-
-    async def _housekeeping(self) -> None:
-        while True:
-            await trio.sleep(_HOUSEKEEPING)
-            self._pool.retire(trio.current_time())
-
-    async def _session(self, sock: trio.socket.SocketType) -> None:
-        session = Session(sock, self, self._config.settings, self._counters)
-        self._sessions[session] = None
+            self._fault(what, error)
+
+    def _fault(self, what: str, error: BaseException | None) -> None:
+        self._counters.add("task_faults")
+        self._counters.log(f"fault in {what}: {type(error).__name__}: {error}")
+
+    def _wind(self) -> None:
+        """Set the clock for what is due next."""
+        if self._clock is not None:
+            self._clock.cancel()
+        self._due_at = self._facade.due()
+        if self._due_at < math.inf:
+            delay = max(self._due_at - time.monotonic(), 0.0)
+            self._clock = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        """Call the facade, for something is due."""
+        self._due_at = -math.inf  # wound once, when all is done
         try:
-            await session.run()
-        finally:
-            del self._sessions[session]
-            self._session_over.set()
+            self._carry_out(self._facade.tick(time.monotonic()))
+        except Exception as error:  # the clock must go on whatever one entry did
+            self._fault("tick", error)
+        self._wind()
 
-    async def _accept(self, listener: trio.socket.SocketType) -> None:
+    async def _housekeeping(self) -> None:
+        """Look at the connections now and then."""
+        looks = 0
         while True:
-            while len(self._sessions) >= self._most:
-                await self._make_room()
-            try:
-                sock, _ = await listener.accept()
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            except OSError as error:
-                # A connection that broke in the queue is nothing; without descriptors, wait for some.
-                self._counters.add("accept_failures")
-                if http.out_of_descriptors(error):
-                    for session in list(self._sessions)[:8]:
-                        session.close_if_idle()
-                    await trio.sleep(0.02)
-                continue
-            self._counters.add("submitter_connections")
-            self._spawn("session", self._session, sock)
-
-    async def _make_room(self) -> None:
-        """Close the connection that came first among the idle, or wait for one to end."""
-        self._session_over = trio.Event()
-        idle = next((session for session in self._sessions if session.idle), None)
-        if idle is not None:
-            idle.close_if_idle()
-        await self._session_over.wait()
+            await asyncio.sleep(_LOOK)
+            looks += 1
+            now = time.monotonic()
+            for session in list(self._sessions):
+                session.look(now)
+            if looks % _RETIRE == 0:
+                self._pool.retire(now)
 
     # --- start and end --------------------------------------------------------------------------------
 
     async def run(self) -> None:
         """Serve until told to stop, then end once nothing is owed."""
-        host, port = self._config.listen
-        listener = trio.socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await listener.bind((host, port))
-        listener.listen(_BACKLOG)
-        with trio.open_signal_receiver(*_SIGNALS) as signals:
-            async with trio.open_nursery() as self._nursery:
-                now = trio.current_time()
-                self._carry_out(self._facade.listed(now, self._config.known, cached=True))
-                self._spawn("keep time", self._keep_time)
-                self._spawn("housekeeping", self._housekeeping)
-                accepting = trio.CancelScope()
-
-                async def accept() -> None:
-                    with accepting:
-                        await self._accept(listener)
-
-                self._spawn("accept", accept)
-                async for number in signals:
-                    if number == signal.SIGUSR1:
-                        self._dump()
-                    elif number == signal.SIGHUP:
-                        self._reload()
-                    else:
-                        break
-                await self._end(listener, accepting)
-                self._nursery.cancel_scope.cancel()
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: self._fault(context.get("message", ""), context.get("exception"))
+        )
+        signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
+        for number in _SIGNALS:
+            loop.add_signal_handler(number, signals.put_nowait, number)
+        settings = self._config.settings
+        async with asyncio.TaskGroup() as self._tasks:
+            self._carry_out(self._facade.listed(time.monotonic(), self._config.known, cached=True))
+            server = await loop.create_server(
+                lambda: Session(self, settings, self._counters),
+                sock=http.bind(self._config.listen),
+                backlog=_BACKLOG,
+            )
+            self._spawn("housekeeping", self._housekeeping)
+            while (number := await signals.get()) not in (signal.SIGTERM, signal.SIGINT):
+                if number == signal.SIGUSR1:
+                    self._dump()
+                else:
+                    self._reload()
+            await self._end(server)
+            for task in list(self._spawned):
+                task.cancel()
         self._dump()
 
     def _reload(self) -> None:
@@ -244,28 +239,22 @@
         self._counters.add("reloads")
         self._spawn("move", self._discovery.move, address)
 
-    async def _end(self, listener: trio.socket.SocketType, accepting: trio.CancelScope) -> None:
+    async def _end(self, server: asyncio.Server) -> None:
         self._counters.log("stopping")
-        await trio.sleep(_ACCEPT_ON)
-        accepting.cancel()
+        await asyncio.sleep(_ACCEPT_ON)
         self.closing = True
-        # What the system has accepted already is ours: it is served before the listener goes.
-        while len(self._sessions) < self._most and http.readable(listener):
-            try:
-                sock, _ = await listener.accept()
-            except OSError:
-                break
-            self._spawn("session", self._session, sock)
-        listener.close()
-        await trio.sleep(0)
+        # What the system has accepted already is ours: the loop takes it before the listener goes.
+        await asyncio.sleep(0.01)
+        server.close()
         # A message that is only half here is not owed an answer; it may still become whole for a moment.
-        patience = trio.current_time() + _HALF_READ
-        while self._sessions and (self._anything_owed() or trio.current_time() < patience):
+        patience = time.monotonic() + _HALF_READ
+        while self._sessions and (self._anything_owed() or time.monotonic() < patience):
             for session in list(self._sessions):
-                session.close_if_idle()
-            self._session_over = trio.Event()
-            with trio.move_on_after(0.05):
-                await self._session_over.wait()
+                if session.idle():
+                    session.close()
+            await asyncio.sleep(0.02)
+        for session in list(self._sessions):
+            session.close()
 
     def _anything_owed(self) -> bool:
         return self._facade.owed > 0 or any(session.busy for session in self._sessions)
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -1,14 +1,15 @@
-"""The submitter side: reads jobs off connections, waits for their answers, writes these."""
+"""The submitter side: reads jobs off connections, hands them to the desk, writes the answers."""
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+import time
+from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
-from http import HTTPStatus
-from typing import Protocol
+from typing import Protocol, cast
 
-import h11
-import trio
+import httptools
 
 from indigokeel.decision.interface import Effect, Settings
 from indigokeel.facade import Job, Verdict
@@ -16,12 +17,18 @@
 from indigokeel.net.counters import Counters
 from indigokeel.net.pool import Task
 
-_MESSAGE_TIME = 10.0  # s from a message's first byte to its last, and for an answer to be written
-_AHEAD = 2 * http.MAX_BODY  # bytes read ahead of the job that runs
+_MESSAGE_TIME = 2.5  # s from a message's first byte (of the first one: from the connection) to its last
+_SILENCE = 2.2  # s after which a connection that has said nothing at all is closed
+_IDLE = 20.0  # s after which one is closed that stands between two messages
+_ANSWER_TIME = 5.0  # s for an answer to be taken
+_LINGER = 0.2  # s between the word on what cannot be read and the close, so that it can be read
+_MOST_AHEAD = 8  # messages read behind the one that is being answered
 _LONGEST = 3600.0  # s that a submitter may be willing to wait
 
 _STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
+Headers = Mapping[bytes, bytes]  # names in lower case
+
 
 class MalformedError(Exception):
     """A message that is no job; ``status`` is what its sender is told."""
@@ -49,216 +56,304 @@
 
     def knows(self, job_id: str) -> bool: ...
 
-    async def serve(self, arrived: float, job: Job, task: Task) -> Final: ...
+    def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
+        """Take a job. Its answer comes by ``Session.answer``, perhaps before this returns."""
 
     def left(self, job_id: str) -> None: ...
 
+    def joined(self, session: Session) -> None: ...
+
+    def gone(self, session: Session) -> None: ...
+
 
-def read_job(request: h11.Request, body: http.Body, settings: Settings) -> tuple[Job, Task]:
-    """Turn a message into a job and what of it goes on; raises MalformedError."""
-    headers = list(request.headers)
-    path = request.target.split(b"?", 1)[0].decode("latin-1")
-    parts = path.split("/")
-    if request.method not in (b"GET", b"POST"):
+def read_job(method: bytes, target: bytes, headers: Headers, settings: Settings) -> tuple[Job, Task]:
+    """Turn a message's head into a job and what of it goes on; raises MalformedError."""
+
+    def text(name: bytes) -> str:
+        return headers.get(name, b"").decode("latin-1")
+
+    if method not in (b"GET", b"POST"):
         raise MalformedError(405, "the method is neither GET nor POST")
-    name = http.header(headers, b"request-class") or ""
+    name = text(b"request-class")
     cls = next((cls for cls in settings.classes if cls.name == name), None)
     if cls is None:
         raise MalformedError(400, "Request-Class is missing or not known")
+    parts = target.split(b"?", 1)[0].decode("latin-1").split("/")
     if len(parts) < 2 or parts[1] != name:
         raise MalformedError(404, "the path does not begin with the class")
-    job_id = http.header(headers, b"request-id") or ""
+    job_id = text(b"request-id")
     if not job_id or len(job_id) > 200 or not job_id.isprintable():
         raise MalformedError(400, "Request-Id is missing or bad")
-    wait = http.header(headers, b"request-timeout-ms") or ""
+    wait = text(b"request-timeout-ms")
     if not wait.isascii() or not wait.isdigit() or len(wait) > 9 or int(wait) == 0:
         raise MalformedError(400, "Request-Timeout-Ms is missing or bad")
-    key = http.header(headers, b"idempotency-key")
+    key = headers.get(b"idempotency-key")
     if cls.effect is Effect.KEYED and not key:
         raise MalformedError(400, "Idempotency-Key is missing")
-    extras = dict(
-        pair.strip().split("=", 1)
-        for pair in (http.header(headers, b"request-info") or "").split(",")
-        if "=" in pair
-    )
+    extras = {}
+    if b"request-info" in headers:
+        pairs = text(b"request-info").split(",")
+        extras = dict(pair.strip().split("=", 1) for pair in pairs if "=" in pair)
     try:
-        hint = float(http.header(headers, b"work-hint") or extras.get("hint-s") or 0.0)
+        hint = float(text(b"work-hint") or extras.get("hint-s") or 0.0)
     except ValueError:
         hint = 0.0
     job = Job(
         id=job_id,
         job_class=name,
         budget=min(int(wait) / 1000.0, _LONGEST),
-        tenant=http.header(headers, b"tenant") or "",
+        tenant=text(b"tenant"),
         key=parts[-1] if len(parts) > 2 else "",
         hint=hint if 0.0 <= hint < _LONGEST else 0.0,
-        repeat=http.header(headers, b"client-retry") == "1",
+        repeat=headers.get(b"client-retry") == b"1",
         write=extras.get("mutates") == "1",
     )
-    framed = any(field in (b"content-length", b"transfer-encoding") for field, _ in headers)
-    task = Task(
-        method=request.method,
-        target=request.target,
-        id=job_id.encode("latin-1"),
-        key=key.encode("latin-1") if key is not None else None,
-        body=body,
-        has_body=framed,
-    )
-    return job, task
-
+    framed = b"content-length" in headers or b"transfer-encoding" in headers
+    return job, Task(method, target, headers[b"request-id"], key, [], framed)
 
-def _head(status: int, headers: http.Headers) -> h11.Response:
-    return h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase.encode())
 
+class Session(asyncio.Protocol):
+    """One submitter's connection. httptools calls the ``on_`` methods."""
 
-class Session:
-    """One submitter's connection."""
+    __slots__ = (
+        "_counters", "_desk", "_fd", "_head_size", "_headers", "_in_head", "_job", "_keep", "_parser",
+        "_queue", "_reading", "_settings", "_since", "_size", "_target", "_transport", "_trouble", "_working",
+        "busy", "ended", "heard", "job_id",
+    )  # fmt: skip
 
-    def __init__(
-        self, sock: trio.socket.SocketType, desk: Desk, settings: Settings, counters: Counters
-    ) -> None:
-        self._wire = http.Wire(sock, h11.SERVER)
+    def __init__(self, desk: Desk, settings: Settings, counters: Counters) -> None:
         self._desk, self._settings, self._counters = desk, settings, counters
-        self._idle_scope: trio.CancelScope | None = None
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport
+        self._fd = -1
+        # Messages read whole, each with whether the connection is good for more after it. None: a check.
+        self._queue: deque[tuple[float, tuple[Job, Task] | None, bool]] = deque()
+        self._trouble: MalformedError | None = None  # what came behind them
+        self._reading = False  # within a message
+        self._in_head = False  # ... and its head
+        self._working = False
+        self._keep = True  # after the answer that is owed now
+        self._since = 0.0  # when the message, the silence between two, or the answer's writing began
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._head_size = self._size = 0
+        self._job: tuple[Job, Task] | None = None
+        self.heard = False  # has sent anything at all
         self.busy = False  # a message was read whole and its answer is not written
+        self.ended = False  # has had its last word, or is gone
+        self.job_id = ""  # of the job that is being served
 
-    @property
-    def idle(self) -> bool:
-        """Whether it stands between two messages with nothing of the next one read."""
-        return self._idle_scope is not None and not self._wire.readable()
+    # --- the socket -----------------------------------------------------------------------------------
 
-    def close_if_idle(self) -> None:
-        """Close a connection that waits for its next message. One with something to read is left."""
-        if self._idle_scope is not None and self.idle:
-            self._idle_scope.cancel()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._fd = transport.get_extra_info("socket").fileno()
+        self._since = time.monotonic()
+        self._desk.joined(self)
 
-    async def run(self) -> None:
-        """Serve jobs one after another until a side closes."""
+    def data_received(self, data: bytes) -> None:
+        parser = self._parser
+        if parser is None:
+            return
+        if not self._reading and self.heard:
+            self._since = time.monotonic()
+        self.heard = True
+        whole = len(self._queue)
         try:
-            while await self._serve_one():
-                self._wire.http.start_next_cycle()
-        except h11.RemoteProtocolError as error:
-            await self._turn_down(error.error_status_hint, str(error))
+            parser.feed_data(data)
+            if self._in_head and len(self._queue) == whole:  # all of it was head
+                self._head_size += len(data)
+                if self._head_size > http.MAX_HEAD:
+                    raise MalformedError(431, "the head is too large")
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self._fail(cause if isinstance(cause, MalformedError) else MalformedError(400, str(error)))
         except MalformedError as error:
-            await self._turn_down(error.status, str(error))
-        except http.BodyTooLargeError:
-            await self._turn_down(413, "the body is too large")
-        except trio.TooSlowError:
-            await self._turn_down(408, "the message took too long")
-        except http.BROKEN:
-            self._counters.add("submitter_connections_broken")
+            self._fail(error)
         except Exception as error:  # a fault costs this connection and no other
-            self._counters.add("session_faults")
-            self._counters.log(f"fault in a session: {type(error).__name__}: {error}")
-            await self._turn_down(500, "internal error")
-        finally:
-            self._wire.close()
-
-    async def _await_message(self) -> bool:
-        """Wait for the first byte of the next message; False if none will come."""
-        if self._wire.http.trailing_data[0]:
-            return True
-        if self._desk.closing and not self._wire.readable():
-            return False
-        with trio.CancelScope() as self._idle_scope:
-            try:
-                return await self._wire.receive()
-            finally:
-                self._idle_scope = None
-        return False
-
-    async def _serve_one(self) -> bool:
-        """Read one message and answer it; False when the connection has come to its end."""
-        if not await self._await_message():
-            return False
-        with trio.fail_after(_MESSAGE_TIME):
-            request = await self._wire.next_event()
-            if not isinstance(request, h11.Request):
-                return False
-            names = [name for name, _ in request.headers]
-            if b"content-length" in names and b"transfer-encoding" in names:
-                # Guards against the smuggled job: h11 takes both and lets one win, but a node may let the
-                # other, and find a second job inside the body.
-                raise MalformedError(400, "both Content-Length and Transfer-Encoding")
-            body = await self._wire.read_body()
-        self.busy = True
+            self._fault(error)
+        self._work()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fd = -1
+        if self.busy and not self.ended:
+            self._counters.add("submitters_left")
+        self.ended, self._parser = True, None  # the parser holds this object: the two are let go together
+        self._queue.clear()
+        job_id, self.job_id = self.job_id, ""
+        if job_id:
+            self._desk.left(job_id)
+        self._desk.gone(self)
+
+    def idle(self) -> bool:
+        """Whether it stands between two messages, or before the first, with nothing of the next one here."""
+        return not (self.busy or self._reading or self.ended) and not http.readable(self._fd)
+
+    def idle_for(self, now: float) -> float:
+        """How long it has had no open job and no message begun, or 0."""
+        return 0.0 if self.busy or self._reading or self.ended else now - self._since
+
+    def close(self) -> None:
+        """Close it in order: what was written still goes out."""
+        if not self.ended:
+            self.ended = True
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close it at once."""
+        self.ended = True
+        self._transport.abort()
+
+    def look(self, now: float) -> None:
+        """Called now and then: guards against those who say nothing, half of a message, or do not read."""
+        waited = now - self._since
+        if self.ended:
+            if waited > _ANSWER_TIME:
+                self._transport.abort()
+        elif self.busy:
+            if not self.job_id and waited > _ANSWER_TIME and self._transport.get_write_buffer_size():
+                self.abort()
+        elif self._reading:
+            if waited > _MESSAGE_TIME:
+                self._fail(MalformedError(408, "the message took too long"))
+                self._work()
+        elif waited > (_IDLE if self.heard else _SILENCE) and self.idle():
+            self._counters.add("submitters_idle" if self.heard else "submitters_silent")
+            self.close()
+
+    # --- reading --------------------------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        self._reading = self._in_head = True
+        self._target, self._headers, self._job = b"", {}, None
+        self._head_size = self._size = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(name) + len(value) > http.MAX_HEAD or len(self._headers) > 100:
+            raise MalformedError(431, "the head is too large")
+        self._headers.setdefault(name.lower(), value)
+
+    def on_headers_complete(self) -> None:
+        parser = self._parser
+        assert parser is not None
+        self._in_head = False
+        if len(self._target) + sum(map(len, self._headers.values())) > http.MAX_HEAD:
+            raise MalformedError(431, "the head is too large")
+        # Both are checked here too, whatever the parser takes. Guards against the smuggled job: a node may
+        # let the other length win, and find a second job inside the body.
+        length = self._headers.get(b"content-length")
+        if length is not None and b"transfer-encoding" in self._headers:
+            raise MalformedError(400, "both Content-Length and Transfer-Encoding")
+        if length is not None and int(length) > http.MAX_BODY:
+            raise MalformedError(413, "the body is too large")
+        if parser.should_upgrade():
+            raise MalformedError(400, "no other protocol is spoken here")
+        if self._target != b"/_health":
+            # Refused from the head, with the body unread: what is no job costs no more than that.
+            self._job = read_job(parser.get_method(), self._target, self._headers, self._settings)
+        if self._headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > http.MAX_BODY:
+            raise MalformedError(413, "the body is too large")
+        if self._job is not None:
+            body = self._job[1].body
+            body.append(data)
+            if len(body) >= 64:  # a body in crumbs: joined, so that they stay few
+                body[:] = [b"".join(body)]
+
+    def on_message_complete(self) -> None:
+        assert self._parser is not None
+        self._reading = False
+        job, self._job = self._job, None
+        now = self._since = time.monotonic()
+        self._queue.append((now, job, self._parser.should_keep_alive()))
+        if len(self._queue) > _MOST_AHEAD:
+            raise MalformedError(429, "too many messages at once")
+
+    # --- answering ------------------------------------------------------------------------------------
+
+    def _work(self) -> None:
+        """Answer what was read whole, one after another; then say what was wrong with the rest."""
+        if self._working:  # an answer may come while its job is being taken
+            return
+        self._working = True
         try:
-            return await self._answer_one(trio.current_time(), request, body)
+            while self._queue and not self.busy and not self.ended:
+                arrived, job, self._keep = self._queue.popleft()
+                self.busy = True
+                self._begin(arrived, job)
+        except Exception as error:  # a fault costs this connection and no other
+            self._fault(error)
         finally:
-            self.busy = False
+            self._working = False
+        if self._trouble is not None and not self.busy and not self.ended:
+            self._turn_down(self._trouble)
 
-    async def _answer_one(self, arrived: float, request: h11.Request, body: http.Body) -> bool:
-        if request.target == b"/_health":
+    def _begin(self, arrived: float, job: tuple[Job, Task] | None) -> None:
+        if job is None:
             self._counters.add("health_checks")
-            await self._answer(200 if self._desk.healthy() else 503)
-            return self._wire.http.our_state is h11.DONE
-        try:
-            job, task = read_job(request, body, self._settings)
-            if self._desk.knows(job.id):
-                raise MalformedError(409, "a job of this id is open")
-        except MalformedError as error:
-            # Read whole, so the connection is good for the next one.
-            self._counters.add("jobs_malformed")
-            await self._answer(error.status, why=str(error))
-            return self._wire.http.our_state is h11.DONE
-        self._counters.add("jobs_taken")
-        final = await self._while_there(job.id, lambda: self._desk.serve(arrived, job, task))
-        if final is None:
-            return False
-        extra = [(b"Retry-After", b"%.3f" % final.retry_in)] if final.retry_in > 0.0 else []
-        await self._answer(_STATUS[final.verdict], final.body or [], extra)
-        self._counters.add("answers_written")
-        return self._wire.http.our_state is h11.DONE
-
-    async def _while_there(self, job_id: str, serve: Callable[[], Awaitable[Final]]) -> Final | None:
-        """Wait for the answer, and watch for the submitter to leave; None if it did."""
-        final: Final | None = None
-
-        async def watch(scope: trio.CancelScope) -> None:
-            while len(self._wire.http.trailing_data[0]) < _AHEAD:
-                try:
-                    if await self._wire.receive():
-                        continue
-                except http.BROKEN:
-                    pass
-                self._counters.add("submitters_left")
-                self._desk.left(job_id)
-                scope.cancel()
-                return
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(watch, nursery.cancel_scope)
-            final = await serve()
-            nursery.cancel_scope.cancel()
-        return final
-
-    async def _answer(
-        self, status: int, body: http.Body | None = None, extra: http.Headers | None = None, why: str = ""
-    ) -> None:
-        pieces = body if body is not None else []
-        if why:
-            pieces = [memoryview(why.encode() + b"\n")]
-        headers: http.Headers = [(b"Content-Length", b"%d" % sum(len(piece) for piece in pieces))]
-        headers += extra or []
+            self._write(http.response(200 if self._desk.healthy() else 503, []))
+        elif self._desk.knows(job[0].id):
+            self._trouble = MalformedError(409, "a job of this id is open")
+            self._queue.clear()
+            self.busy = False
+        else:
+            self._counters.add("jobs_taken")
+            self.job_id = job[0].id
+            self._desk.take(self, arrived, *job)
+
+    def answer(self, final: Final) -> None:
+        """The final answer to the job that is being served."""
+        self.job_id = ""
+        if self.ended:
+            return
         # What was sent ahead is answered first.
-        if self._desk.closing and not self._wire.http.trailing_data[0]:
-            headers.append((b"Connection", b"close"))
-        with trio.fail_after(_MESSAGE_TIME):
-            await self._wire.send_message(_head(status, headers), pieces)
-
-    async def _turn_down(self, status: int, why: str) -> None:
-        """Tell the sender of what cannot be read, if it can be told, before the connection is closed."""
+        last = not self._keep or (self._desk.closing and not self._queue and not self._reading)
+        self._counters.add("answers_written")
+        self._write(http.response(_STATUS[final.verdict], final.body or [], final.retry_in, last), last)
+        self._work()
+
+    def _write(self, pieces: list[bytes], last: bool = False) -> None:
+        self._transport.write(b"".join(pieces) if len(pieces) > 1 else pieces[0])
+        self._since = time.monotonic()
+        self.busy = False
+        if last or not self._keep:
+            self.close()
+
+    # --- what is no job -------------------------------------------------------------------------------
+
+    def _fail(self, error: MalformedError) -> None:
+        """Nothing more is read; told once what was read before is answered."""
+        if self._trouble is None and not self.ended:
+            self._trouble, self._parser, self._reading, self._in_head = error, None, False, False
+            self._transport.pause_reading()
+
+    def _fault(self, error: Exception) -> None:
+        self._counters.add("session_faults")
+        self._counters.log(f"fault in a session: {type(error).__name__}: {error}")
+        job_id, self.job_id = self.job_id, ""
+        if job_id:
+            self._desk.left(job_id)
+        self.busy = False
+        self._queue.clear()
+        self._fail(MalformedError(500, "internal error"))
+
+    def _turn_down(self, error: MalformedError) -> None:
+        """Tell the sender what is wrong, then close. Nothing more is read, for it may be 60 MB; but a close
+        with bytes unread resets the connection, so the sender gets a moment to read the answer first."""
         self._counters.add("messages_malformed")
-        if self._wire.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        text = memoryview(why.encode() + b"\n")
-        headers = [(b"Content-Length", b"%d" % len(text)), (b"Connection", b"close")]
-        with trio.move_on_after(1.0):
-            try:
-                await self._wire.send_message(_head(status, headers), [text])
-                self._wire.sock.shutdown(trio.socket.SHUT_WR)
-                # Closing with unread bytes would reset the connection and take the answer with it.
-                while await self._wire.sock.recv(http.READ):
-                    pass
-            except http.BROKEN:
-                return
+        self.ended, self._parser = True, None
+        self._since = time.monotonic()
+        self._transport.pause_reading()
+        self._transport.write(
+            b"".join(http.response(error.status, [str(error).encode() + b"\n"], close=True))
+        )
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        asyncio.get_running_loop().call_later(_LINGER, self._transport.abort)
