--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -219,7 +219,7 @@
     """One request from its arrival until it is over and all its attempts have ended."""
 
     __slots__ = (
-        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "started",
+        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "latest", "started",
     )  # fmt: skip
 
     def __init__(self, event: RequestArrived, cls: ClassSettings, key: int, now: float) -> None:
@@ -228,6 +228,7 @@
         self.started = False  # a streamed answer has begun
         self.deadline = now + event.budget
         self.aim = now + min(cls.aim + cls.aim_stretch * event.hint, event.budget)
+        self.latest = self.deadline if cls.late_worth > 0.0 or cls.streaming else self.aim
         self.attempts: list[Attempt] = []
         self.done = False
 
@@ -629,7 +630,11 @@
         self._idle.pop(upstream.member.id, None)
         patience = self._patience(now, request, expected)
         timeout = 0.0
-        if patience < request.deadline - now:
+        if request.latest < request.deadline:
+            # Guards against the jam: work on answers that are worth nothing any more keeps an upstream
+            # from those that are, until all come late.
+            timeout = max(request.latest - now, MARGIN)
+        if patience < request.latest - now:
             if not self._settings.limits.second_copies and self._may_repeat(now + patience, request):
                 timeout = patience
             else:
@@ -746,8 +751,7 @@
         """Whether another attempt is allowed and can still earn something."""
         if len(request.attempts) >= self._settings.limits.max_attempts or not self._may_repeat(now, request):
             return False
-        latest = request.deadline if request.cls.late_worth > 0.0 else request.aim
-        return now + 0.5 * self._stats[request.cls.name].expected(request.hint) < latest
+        return now + 0.5 * self._stats[request.cls.name].expected(request.hint) < request.latest
 
     def _after_failure(self, now: float, request: Request) -> None:
         """No attempt is out and none was served. All further attempts are paid for from the retry
