--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -65,6 +65,8 @@
 KEY_WINDOW = 20  # candidates weighed for a warm key: bounds the cost of a pick on any fleet
 HOT_KEY_SPREAD = 2.0  # a key with the traffic of one upstream is spread over this many more
 HOME_PULL = 1.5  # a slice in the own zone grows by this where crossing zones has a price
+LEAN_FROM = 2.0  # times its part of the own attempts out, from where a slice shrinks ...
+LEAN = 4.0  # ... and how steeply
 SUSPECT = 0.1  # what is left of the slice of an upstream with an answer overdue
 CAPACITY_MIN_UTIL = 0.15  # below this utilisation rate / utilisation is mostly noise
 CAPACITY_PRIOR = 2.0  # reports that the belief "like others of its kind and cell" is worth
@@ -80,7 +82,7 @@
 PROBE_SHARE = 0.25  # probes for each request, where reports come by probe only
 REFRESH = 0.25  # s that a look at an upstream holds while there is no news of it
 RATE_TAU = 5.0  # s over which the own request rate is averaged
-SHED_TAU = 10.0  # s over which requests and timely answers are counted
+SHED_TAU = 4.0  # s over which requests and timely answers are counted
 SHED_SLACK = 1.3  # requests are shed while they are more than this multiple of the timely answers
 SHED_LEAST = 2.0  # requests; below this many without an answer the count proves nothing
 SHED_MOST = 0.9  # of a class; the rest shows when the trouble is over
@@ -483,11 +485,23 @@
         else:
             chosen, mean = survivors, total / known
             slices = [u.view / ((u.rate / u.size if u.rate >= 0.0 else mean) + mean) for u in survivors]
+        self._lean(chosen, slices)
         self._cap_cold(chosen, slices)
         if key:
             return self._by_key(chosen, slices, key)
         return self._random.choices(chosen, slices)[0]
 
+    def _lean(self, chosen: list[Upstream], slices: list[float]) -> None:
+        """Lean away from upstreams that hold far more of the own attempts than their part. Guards against
+        the crowd: reports are up to half a second old and averaged over more, and until they tell of a
+        queue, every pick by an old report makes it longer. Within LEAN_FROM nothing leans, for that would
+        move keys off the upstreams that have them warm."""
+        mean = sum(u.open for u in chosen) / sum(u.view for u in chosen) + 1.0
+        for i, upstream in enumerate(chosen):
+            over = upstream.open / (mean * upstream.view * LEAN_FROM)
+            if over > 1.0:
+                slices[i] *= over**-LEAN
+
     def _look(self, now: float, upstream: Upstream) -> None:
         """Work out what the wheel needs of an upstream; good until news of it, or for a moment."""
         upstream.average(now)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,7 +8,7 @@
 
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import QUARANTINE_LONGEST, Balancer
-from tests.conftest import KEYED, SAFE, Driver, make_members, make_settings, of, sends
+from tests.conftest import KEYED, SAFE, UNSAFE, Driver, make_members, make_settings, of, sends
 
 
 def load(rate: float, utilisation: float) -> api.Load:
@@ -207,6 +207,31 @@
     assert picks(driver).get(hung, 0) < 600 / 6 * 0.4
 
 
+def test_upstream_that_holds_many_own_attempts_is_leaned_away_from(driver: Driver) -> None:
+    """Reports are old: what is out already tells of a queue sooner."""
+    slow, held = make_members(6)[0].id, 0
+    for _ in range(200):
+        send = sends(driver.request()[1])[0]
+        if send.upstream == slow:
+            held += 1
+        else:
+            driver.end(send)
+    assert 0 < held < 15  # of 200; an even part is 33
+
+
+@pytest.mark.parametrize(("late_worth", "timeout"), [(0.0, 0.5), (0.5, 0.0)])
+def test_attempt_ends_at_the_aim_where_a_later_answer_is_worth_nothing(
+    late_worth: float, timeout: float
+) -> None:
+    """Found on a day with a slow fleet: it worked on answers nobody counted, until all came late."""
+    driver = Driver(make_settings(classes=(replace(UNSAFE, late_worth=late_worth),)), make_members(2))
+    name, actions = driver.request("pay", budget=1.5)
+    assert sends(actions)[0].timeout == timeout
+    driver.now += 0.5
+    (end,) = driver.end(sends(actions)[0], api.Ending.TIMEOUT, elapsed=0.5)
+    assert end == api.Fail(name)
+
+
 def test_drained_upstream_gets_nothing(driver: Driver) -> None:
     one = make_members(6)[0]
     driver.news((replace(one, state=api.State.DRAINING),))
