--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -22,6 +22,7 @@
     Action,
     AnswerStarted,
     AttemptEnded,
+    CancelAttempt,
     ClassSettings,
     ClientLeft,
     CloseIdle,
@@ -89,7 +90,8 @@
 WATCH_FIRST = 0.5  # s before discovery is asked again after a failed call, with jitter ...
 WATCH_LONGEST = 4.0  # s; ... doubled up to this, well within the time it must be asked in
 REFUSAL_WAIT = 0.25  # s a refused client is asked to wait, where clients hear it
-IDLE_KEPT = 1  # upstreams to which idle connections are kept
+IDLE_KEPT = 1  # upstreams to which idle connections are kept where open connections have a price ...
+IDLE_KEPT_FREE = 64  # ... and where not: a handshake costs the upstream work and the request time
 MARGIN = 0.05  # s kept clear of every time that a rule states
 
 _MASK = (1 << 64) - 1
@@ -208,11 +210,12 @@
 class Attempt:
     """One attempt that has been sent."""
 
-    __slots__ = ("copy", "expected", "may_have_run", "out", "overdue", "sent", "upstream")
+    __slots__ = ("called_off", "copy", "expected", "may_have_run", "out", "overdue", "sent", "upstream")
 
     def __init__(self, upstream: Upstream, sent: float, expected: float) -> None:
         self.upstream, self.sent, self.expected = upstream, sent, expected
         self.out, self.overdue = True, False
+        self.called_off = False
         self.copy = False  # sent while another was out
         self.may_have_run = True  # until its outcome proves otherwise
 
@@ -303,6 +306,7 @@
         self._salts: list[int] = []
         self._ranked: list[Upstream] = []  # in this sidecar's own order
         self._requests: dict[str, Request] = {}
+        self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
         self._idle: OrderedDict[str, None] = OrderedDict()  # with idle connections, longest ago first
         self._held: OrderedDict[str, Request] = OrderedDict()
         self._timers: dict[int, Callable[[float], None]] = {}
@@ -701,6 +705,9 @@
             upstream.jail_time = QUARANTINE_FIRST
             upstream.felt(now, event.elapsed / attempt.expected)
             self._stats[request.cls.name].seen(event.elapsed, request.hint)
+        elif ending is Ending.CANCELLED:
+            if event.elapsed > attempt.expected:  # at least as slow as this
+                upstream.felt(now, event.elapsed / attempt.expected)
         elif ending is Ending.TIMEOUT:
             if event.elapsed >= attempt.expected:  # else the client's time was just too short to tell
                 upstream.felt(now, event.elapsed / attempt.expected)
@@ -722,8 +729,14 @@
             self._forget(request)
 
     def _forget(self, request: Request) -> None:
-        """A finished request stays known until its last attempt has told how it ended."""
+        """A finished request stays known until its last attempt has told how it ended. What is still out
+        for it is called off: guards against work whose answer nobody waits for."""
         self._held.pop(request.id, None)
+        if request.done and not request.started and self._settings.limits.cancelling:
+            for number, attempt in enumerate(request.attempts):
+                if attempt.out and not attempt.called_off:
+                    attempt.called_off = True
+                    self._actions.append(CancelAttempt(request.id, number))
         if request.done and request.out() == 0:
             self._requests.pop(request.id, None)
 
@@ -821,7 +834,7 @@
         if upstream.open == 0:
             self._idle[upstream.member.id] = None
             self._idle.move_to_end(upstream.member.id)
-            if len(self._idle) > IDLE_KEPT:
+            if len(self._idle) > self._idle_kept:
                 self._actions.append(CloseIdle(self._idle.popitem(last=False)[0]))
 
     # --- probes ---------------------------------------------------------------------------------
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -219,6 +219,27 @@
     assert 0 < held < 15  # of 200; an even part is 33
 
 
+@pytest.mark.parametrize("allowed", [True, False])
+def test_what_is_out_for_a_request_that_is_over_is_called_off_once(allowed: bool) -> None:
+    driver = Driver(make_settings(limits=api.Limits(cancelling=allowed)), make_members(2))
+    name, actions = driver.request()
+    (send,) = sends(actions)
+    wanted = [api.CancelAttempt(name, 0)] if allowed else []
+    assert driver.balancer.handle(driver.now, api.ClientLeft(name)) == wanted
+    assert driver.balancer.handle(driver.now, api.ClientLeft(name)) == []
+    assert of(driver.end(send, api.Ending.CANCELLED), api.CancelAttempt) == []
+
+
+@pytest.mark.parametrize(("price", "closed"), [(0.1, 5), (0.0, 0)])
+def test_idle_connections_are_closed_only_where_they_have_a_price(price: float, closed: int) -> None:
+    driver = Driver(make_settings(prices=api.Prices(connection=price)), make_members(6))
+    names = set()
+    for _ in range(60):
+        send = sends(driver.request()[1])[0]
+        names |= {action.upstream for action in of(driver.end(send), api.CloseIdle)}
+    assert len(names) >= closed and (closed > 0 or not names)
+
+
 @pytest.mark.parametrize(("late_worth", "timeout"), [(0.0, 0.5), (0.5, 0.0)])
 def test_attempt_ends_at_the_aim_where_a_later_answer_is_worth_nothing(
     late_worth: float, timeout: float
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -95,10 +95,9 @@
 def test_no_claim_begins_for_a_job_that_is_over() -> None:
     facade = start()
     claim, _ = take(facade)
-    facade.left(100.1, "j")
-    assert not facade.begin(100.1, claim) and facade.owed == 0 and facade.knows("j")
-    facade.report(100.2, claim, Outcome.MOOT)
-    assert not facade.knows("j")
+    assert facade.left(100.1, "j").given_up == [("j", 0)]
+    assert not facade.begin(100.1, claim) and facade.owed == 0 and not facade.knows("j")
+    assert facade.report(100.2, claim, Outcome.MOOT) == Orders()
 
 
 @pytest.mark.parametrize(("after", "allowed"), [(0.9, True), (1.0, False)])
