End connections with their answer when submitters hold many; shed crowds cheaply

Connections that asked once and stayed for good had used it up; ours to close, and nothing closed them for 20 s.

Now: while over a sixth of the descriptors hold connections with a job, each answer carries Connection: close, which crosses no job; connections without an open job go after 2.2 s; room is made from the old end, those without a job first, sparing those made just now.

--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -26,7 +26,12 @@
 _HALF_READ = 0.2  # s after that in which a message that has begun may still become whole
 _LOOK = 0.2  # s between looks at connections
 _RETIRE = 5  # looks between those at idle connections to execute nodes
-_YOUNG = 0.5  # s in which a connection is not shed though it has said nothing, where others can be
+# Of all descriptors: with more connections that brought a job than this, each ends with its answer. Guards
+# against submitters that run out of their own share, a third, over connections that nobody uses any more.
+_CROWD = 1 / 6
+_YOUNG = 0.3  # s in which one that has brought no job yet is left alone, where others can go
+_MAY_CLOSE = 2.0  # s without an open job after which a submitter reckons with a close
+_STUCK = 0.5  # s after which half a message no longer keeps a connection, where room is needed
 _BACKLOG = 512
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
@@ -42,6 +47,7 @@
         limits = config.settings.limits
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
+        self._crowd = max(int(sockets * _CROWD), 4)
         self._most = max(int((sockets - _RESERVE) * _SUBMITTERS), 8)
         self._pool = Pool(
             self._facade,
@@ -53,7 +59,9 @@
         self._discovery = Discovery(config.discovery, self._counters, self._listed, self._list_failed)
         self._discovery.version = config.known.version
         self._waiting: dict[str, tuple[Session, Task]] = {}  # jobs whose answer is awaited
-        self._sessions: dict[Session, None] = {}  # in the order they came
+        self._sessions: dict[Session, None] = {}
+        self._newcomers: dict[Session, None] = {}  # those that have brought no job, in the order they came
+        self._workers: dict[Session, None] = {}  # the others, by their last job
         self._clock: asyncio.TimerHandle | None = None
         self._due_at = math.inf
         self._tasks: asyncio.TaskGroup
@@ -71,6 +79,9 @@
     def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
         """Take a job; its answer goes to the session, perhaps at once."""
         self._waiting[job.id] = session, task
+        self._newcomers.pop(session, None)
+        self._workers.pop(session, None)
+        self._workers[session] = None  # to the young end
         self._carry_out(self._facade.pick(arrived, job))
 
     def left(self, job_id: str) -> None:
@@ -79,27 +90,36 @@
 
     def joined(self, session: Session) -> None:
         self._counters.add("submitter_connections")
-        self._sessions[session] = None
+        self._sessions[session] = self._newcomers[session] = None
         if len(self._sessions) > self._most:
             self._make_room(session)
 
+    def crowded(self) -> bool:
+        return len(self._workers) > self._crowd
+
     def gone(self, session: Session) -> None:
-        self._sessions.pop(session, None)
+        for sessions in (self._sessions, self._newcomers, self._workers):
+            sessions.pop(session, None)
 
     def _make_room(self, newest: Session) -> None:
         """Close one connection so that the newest has a place. Guards against crowds: those that never
-        said anything go first, for on one that did a job may be on its way."""
+        brought a job go first, the oldest of them, for on one that did another may be on its way. Looked
+        for from the old end, since a crowd may come by hundreds a second."""
         now = time.monotonic()
-        idle = [session for session in self._sessions if session is not newest and session.idle()]
-        silent = [session for session in idle if not session.heard and session.idle_for(now) > _YOUNG]
-        pick = min(silent, key=lambda s: -s.idle_for(now), default=None)
-        if pick is None:
-            pick = min(
-                idle, key=lambda s: (s.heard and s.idle_for(now) < 2.0, -s.idle_for(now)), default=newest
-            )
+        others = (s for s in self._newcomers if s is not newest)
+        found = next((s for s in others if s.idle() and s.idle_for(now) > _YOUNG), None)
+        if found is None:
+            found = next((s for s in self._newcomers if s.stuck_for(now) > _STUCK), None)
+        if found is None:  # the one that did nothing for longest, where that is long
+            found = next((s for s in self._workers if s.idle()), newest)
+            if found is not newest and found.idle_for(now) < _MAY_CLOSE:
+                others = (s for s in self._newcomers if s is not newest)
+                found = next((s for s in others if s.idle()), found)
+        if found is newest:
+            self._counters.add("submitters_without_room")
         self._counters.add("submitters_shed")
-        pick.abort()
-        self._sessions.pop(pick, None)
+        found.abort()
+        self.gone(found)
 
     # --- what the facade orders -----------------------------------------------------------------------
 
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -18,8 +18,9 @@
 from indigokeel.net.pool import Task
 
 _MESSAGE_TIME = 2.5  # s from a message's first byte (of the first one: from the connection) to its last
-_SILENCE = 2.2  # s after which a connection that has said nothing at all is closed
-_IDLE = 20.0  # s after which one is closed that stands between two messages
+# s after which a connection with no open job is closed, also one that never said anything. Guards against
+# those who ask once and stay for good: they use up what descriptors the others have, here and there.
+_IDLE = 2.2
 _ANSWER_TIME = 5.0  # s for an answer to be taken
 _LINGER = 0.2  # s between the word on what cannot be read and the close, so that it can be read
 _MOST_AHEAD = 8  # messages read behind the one that is being answered
@@ -61,6 +62,9 @@
 
     def left(self, job_id: str) -> None: ...
 
+    def crowded(self) -> bool:
+        """Whether submitters' connections have become so many that each ends with its answer."""
+
     def joined(self, session: Session) -> None: ...
 
     def gone(self, session: Session) -> None: ...
@@ -193,6 +197,10 @@
         """How long it has had no open job and no message begun, or 0."""
         return 0.0 if self.busy or self._reading or self.ended else now - self._since
 
+    def stuck_for(self, now: float) -> float:
+        """How long a message has been half here, or 0."""
+        return now - self._since if self._reading and not self.busy else 0.0
+
     def close(self) -> None:
         """Close it in order: what was written still goes out."""
         if not self.ended:
@@ -217,7 +225,7 @@
             if waited > _MESSAGE_TIME:
                 self._fail(MalformedError(408, "the message took too long"))
                 self._work()
-        elif waited > (_IDLE if self.heard else _SILENCE) and self.idle():
+        elif waited > _IDLE and self.idle():
             self._counters.add("submitters_idle" if self.heard else "submitters_silent")
             self.close()
 
@@ -314,7 +322,8 @@
         if self.ended:
             return
         # What was sent ahead is answered first.
-        last = not self._keep or (self._desk.closing and not self._queue and not self._reading)
+        over = self._desk.closing or self._desk.crowded()
+        last = not self._keep or (over and not self._queue and not self._reading)
         self._counters.add("answers_written")
         self._write(http.response(_STATUS[final.verdict], final.body or [], final.retry_in, last), last)
         self._work()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -253,11 +253,57 @@
         until(served)
 
 
-def test_connections_are_bounded_and_idle_ones_make_room(tmp_path: Path) -> None:
+def test_connections_are_bounded_and_those_without_a_job_make_room(tmp_path: Path) -> None:
+    """Found on days with crowds: hundreds connect and say nothing, or ask for health and stay."""
     with running(tmp_path, echo, sockets=40) as (program, _, _d), contextlib.ExitStack() as stack:
-        idle = [stack.enter_context(program.connect()) for _ in range(12)]
-        assert program.ask(job())[0] == 200
-        assert idle[0].recv(1) == b"" and program.counters()["submitter_connections_open"] <= 8
+        worker = stack.enter_context(program.connect())
+        file = worker.makefile("rb")
+        worker.sendall(job())
+        assert read_answer(file)[0] == 200
+        crowd = [stack.enter_context(program.connect()) for _ in range(12)]
+        for conn in crowd[8:]:
+            conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert crowd[0].recv(1) == b""
+        worker.sendall(job())
+        assert read_answer(file)[0] == 200
+        assert program.counters()["submitter_connections_open"] <= 8
+
+
+@pytest.mark.parametrize(
+    ("raw", "told"),
+    [
+        (b"", b""),
+        (b"GET /view/1 HTTP/1.1\r\nHost:", b"HTTP/1.1 408 "),
+        (job("pay", b"x" * 9)[:-3], b"HTTP/1.1 408 "),
+        (
+            b"POST /pay/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 300_000,
+            b"HTTP/1.1 413 ",
+        ),
+        (job("pay", b"", more="Transfer-Encoding: chunked\r\n"), b"HTTP/1.1 400 "),
+        (b"GET /view/1 HTTP/1.1\r\n" + b"A: b\r\n" * 20_000, b"HTTP/1.1 431 "),
+        (job(wait_ms=-5), b"HTTP/1.1 400 "),
+        (job("odd"), b"HTTP/1.1 400 "),
+    ],
+)
+def test_bad_submitters_get_an_error_or_a_close_within_3_s(tmp_path: Path, raw: bytes, told: bytes) -> None:
+    with running(tmp_path, echo) as (program, nodes, _), program.connect() as conn:
+        began, got = time.monotonic(), b""
+        with contextlib.suppress(ConnectionError):
+            conn.sendall(raw)
+            while data := conn.recv(1000):
+                got += data
+        assert time.monotonic() - began < 3.0 and got.startswith(told) and nodes[0].got == []
+
+
+def test_answers_end_their_connection_when_submitters_hold_many(tmp_path: Path) -> None:
+    """Found in an incident: connections that asked once and stayed used up the share of the others."""
+    with running(tmp_path, echo, sockets=60) as (program, _, _d), contextlib.ExitStack() as stack:
+        ended = []
+        for _ in range(16):
+            file = stack.enter_context(program.connect())
+            file.sendall(job())
+            ended.append(read_answer(file.makefile("rb"))[1].headers.get("connection") == "close")
+        assert ended == [False] * 10 + [True] * 6
 
 
 def test_sigterm_answers_what_was_taken_and_ends(tmp_path: Path) -> None:
