Give a connection a third of a claim's time, tell held jobs early, prune the agenda

Pool._open now waits 0.35 of the claim's time at most. A job without any node is told after 0.4 of its time, not at its end. And the facade's agenda kept an entry an hour for a job that names an hour and is served at once; entries of closed jobs are dropped.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -89,6 +89,7 @@
 SHED_LEAST = 2.0  # ... and these
 SHED_STEP_DOWN, SHED_STEP_UP = 0.85, 0.04  # what is admitted changes by this, four times a second
 SHED_MOST = 0.9  # of a class; the rest shows when the trouble is over
+HELD_PART = 0.4  # of the time left, that a request is held for which there is no upstream
 WATCH_FIRST = 0.5  # s before discovery is asked again after a failed call, with jitter ...
 WATCH_LONGEST = 4.0  # s; ... doubled up to this, well within the time it must be asked in
 REFUSAL_WAIT = 0.25  # s a refused client is asked to wait, where clients hear it
@@ -636,7 +637,9 @@
         elif request.id not in self._held:
             # Nowhere to go: news of the list may come in time.
             self._held[request.id] = request
-            self._timer(request.deadline - now - MARGIN, lambda late: self._give_up_held(request))
+            # Not much longer than a client could use the time elsewhere: nothing was tried for it.
+            wait = min((request.deadline - now) * HELD_PART, request.deadline - now - MARGIN)
+            self._timer(wait, lambda late: self._give_up_held(request))
 
     def _give_up_held(self, request: Request) -> None:
         if request.id in self._held:
--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -24,6 +24,7 @@
 # execute node dies, all claims on it end at once, and the work on them delays what is due just then.
 ANSWER_MARGIN = 0.05
 ANSWER_MARGIN_LEAST = 0.01
+_MOST_DEAD = 256  # entries of closed jobs that the agenda may hold, where they are not half of it
 _MOST_EVENTS = 1000  # that one call may set off in the module: guards against a loop that never ends
 
 
@@ -105,13 +106,14 @@
 
 
 class _OpenJob:
-    __slots__ = ("answer_by", "claims", "id", "out", "over", "repeat_window")
+    __slots__ = ("answer_by", "claims", "closed", "entries", "id", "out", "over", "repeat_window")
 
     def __init__(self, job_id: str, answer_by: float, repeat_window: float) -> None:
         self.id, self.answer_by, self.repeat_window = job_id, answer_by, repeat_window
         self.claims: list[_OpenClaim] = []
         self.out = 0  # claims without an ending
-        self.over = False
+        self.over = self.closed = False
+        self.entries = 0  # in the agenda
 
 
 class Facade:
@@ -128,7 +130,8 @@
         self._unix_to_clock = unix_to_clock
         self._jobs: dict[str, _OpenJob] = {}
         self._machines: dict[str, Machine] = {}
-        self._agenda: list[tuple[float, int, Callable[[float, Orders], None]]] = []
+        self._agenda: list[tuple[float, int, Callable[[float, Orders], None], _OpenJob | None]] = []
+        self._dead = 0  # entries of closed jobs
         self._entries = 0
         self.owed = 0  # jobs taken and not answered
         self.faults = 0  # exceptions of the module
@@ -137,6 +140,9 @@
 
     def due(self) -> float:
         """The clock time of the next call of tick."""
+        while self._agenda and self._agenda[0][3] is not None and self._agenda[0][3].closed:
+            heapq.heappop(self._agenda)
+            self._dead -= 1
         return self._agenda[0][0] if self._agenda else math.inf
 
     def ready(self) -> bool:
@@ -181,7 +187,7 @@
         answer_by = now + self._time_for(job)
         opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, self._windows.get(job.job_class, math.inf))
         self.owed += 1
-        self._enter(answer_by, lambda late, more: self._expire(late, opened, more))
+        self._enter(answer_by, lambda late, more: self._expire(late, opened, more), opened)
         event = api.RequestArrived(
             job.id, job.job_class, job.budget, job.tenant, job.key, job.hint, job.repeat, job.write
         )
@@ -210,8 +216,11 @@
     def tick(self, now: float) -> Orders:
         """Do all that is due."""
         orders = Orders()
-        while self._agenda and self._agenda[0][0] <= now:
-            heapq.heappop(self._agenda)[2](now, orders)
+        while self.due() <= now:
+            _, _, call, job = heapq.heappop(self._agenda)
+            if job is not None:
+                job.entries -= 1
+            call(now, orders)
         return orders
 
     def probed(
@@ -255,9 +264,12 @@
             machine.name, machine.zone, machine.kind, machine.cell, machine.state, machine.weight, started
         )
 
-    def _enter(self, at: float, call: Callable[[float, Orders], None]) -> None:
+    def _enter(self, at: float, call: Callable[[float, Orders], None], job: _OpenJob | None = None) -> None:
+        """Enter a call in the agenda; one for a job falls out when that is closed."""
         self._entries += 1
-        heapq.heappush(self._agenda, (at, self._entries, call))
+        if job is not None:
+            job.entries += 1
+        heapq.heappush(self._agenda, (at, self._entries, call, job))
 
     def _time_for(self, job: Job) -> float:
         """The time until the last word on a job: never cut short before its aim but by the least margin,
@@ -314,8 +326,15 @@
 
     def _close(self, job: _OpenJob) -> None:
         """A job stays known until its last claim has told how it ended."""
-        if job.over and job.out == 0:
+        if job.over and job.out == 0 and not job.closed:
+            job.closed = True
             self._jobs.pop(job.id, None)
+            # Guards against growth: a submitter may name an hour for a job that is served in a moment.
+            self._dead += job.entries
+            if self._dead > _MOST_DEAD and self._dead * 2 > len(self._agenda):
+                self._agenda = [entry for entry in self._agenda if entry[3] is None or not entry[3].closed]
+                heapq.heapify(self._agenda)
+                self._dead = 0
 
     # --- the module ---------------------------------------------------------------------------------
 
@@ -399,5 +418,5 @@
         if send.timeout < 0.0:
             until = now
         if until < job.answer_by:
-            self._enter(until, lambda late, more: self._give_up(late, job, number, more))
+            self._enter(until, lambda late, more: self._give_up(late, job, number, more), job)
         orders.claims.append(Claim(send.id, number, send.upstream, until))
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -17,6 +17,9 @@
 
 _IDLE_PART = 0.5  # of keepalive-s; an idle connection is not used beyond it: the node closes at the whole
 _PROBE_TIME = 1.0  # s for a probe
+# Of a claim's time, that its connection may take to come up, and the least of that in s. Guards against
+# machines that are gone without a word: what was never written may go elsewhere, while there is time for it.
+_CONNECT_PART, _CONNECT_LEAST = 0.35, 0.02
 _YOUNGEST = 0.025  # s idle; ages are told apart from here on, each span twice as long as the one before ...
 _AGES = 12  # ... and so many of them
 _RISK_TAU = 20.0  # s in which what was seen of an age loses most of its weight
@@ -297,7 +300,8 @@
             self._ended(claim, Reply(Outcome.MOOT), done)
             return
         try:
-            wire = await self._open(address)
+            left = (claim.until - time.monotonic()) * _CONNECT_PART
+            wire = await self._open(address, min(self._connect_timeout, max(left, _CONNECT_LEAST)))
         except (OSError, TimeoutError):
             self._ended(claim, Reply(Outcome.NO_CONNECTION), done)
             return
@@ -386,7 +390,7 @@
         wire, body = None, b""
         try:
             async with asyncio.timeout(_PROBE_TIME):
-                wire = await self._open(address)
+                wire = await self._open(address, self._connect_timeout)
                 answer: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
                 message = b"GET /_load HTTP/1.1\r\nHost: %s\r\n\r\n" % http.host(address)
                 wire.ask([message], lambda reply: None if answer.done() else answer.set_result(reply))
@@ -407,7 +411,7 @@
         text = body.decode("latin-1").removeprefix("Server-Load:")
         return Outcome.SERVED, reply.load or http.load_figures(text)
 
-    async def _open(self, address: tuple[str, int]) -> Wire:
+    async def _open(self, address: tuple[str, int], patience: float) -> Wire:
         if self.open >= self._most:
             self._shed_idle()
         if self.open >= self._most:
@@ -415,7 +419,7 @@
         self.open += 1
         wire = Wire(address, self._lost)
         try:
-            async with asyncio.timeout(self._connect_timeout):
+            async with asyncio.timeout(patience):
                 await asyncio.get_running_loop().create_connection(lambda: wire, *address)
         except BaseException:
             if wire.made:  # given up just as it came up
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -306,7 +306,7 @@
     driver = Driver(make_settings(), ())
     name, actions = driver.request(budget=0.5)
     timer = of(actions, api.SetTimer)[0]
-    assert not sends(actions) and timer.delay < 0.5
+    assert not sends(actions) and timer.delay < 0.25  # nothing was tried: told while there is time elsewhere
     assert [s.id for s in sends(driver.news(make_members(2)))] == [name]
     driver = Driver(make_settings(), ())
     name, actions = driver.request("pay", budget=0.5)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -161,3 +161,18 @@
     facade.report(100.9, claim, Outcome.SERVED)
     endings = [event.ending for event in seen if isinstance(event, api.AttemptEnded)]
     assert endings == [api.Ending.CANCELLED]
+
+
+def test_agenda_does_not_grow_with_the_time_that_submitters_name() -> None:
+    facade = start()
+    for number in range(2000):
+        now = 100.0 + number * 0.01
+        claim, _ = take(facade, now, id=f"j{number}", budget=3600.0)
+        facade.report(now, claim, Outcome.SERVED)
+        facade.tick(now)
+    assert len(facade._agenda) < 800 and 0 <= facade._dead <= len(facade._agenda)
+    take(facade, 120.0, id="last", budget=1.0)
+    answers = []
+    while facade.due() < 122.0:
+        answers += facade.tick(facade.due()).answers
+    assert [answer.job for answer in answers] == ["last"]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -142,6 +142,21 @@
         assert 200 in got and set(got) <= {200, 503}
 
 
+def test_machine_that_is_gone_without_a_word_leaves_time_for_another(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as silent, contextlib.ExitStack() as stack:
+        for _ in range(3):  # its queue is full: further connections never come up
+            conn = stack.enter_context(socket.socket())
+            conn.setblocking(False)
+            conn.connect_ex(silent.getsockname())
+        with running(tmp_path, echo) as (program, nodes, discovery):
+            gone = entry("s-9", silent.getsockname()[1])
+            both = machine_list(entry("s-0", nodes[0].port), gone, index=2)
+            discovery.push(json.dumps(both).encode())
+            until(lambda: program.counters().get("machine_lists") == 1)
+            codes = [program.ask(job("pay", b"x", 240))[0] for _ in range(30)]
+            assert set(codes) == {200} and program.counters()["claim_no_connection"] > 0
+
+
 def test_rule_1_hung_nodes_do_not_hold_the_answer_past_the_deadline(tmp_path: Path) -> None:
     with running(tmp_path, hang, hang) as (program, _, _d):
         assert program.ask(job("pay", b"x", 300))[0] == 500
