--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -4,17 +4,16 @@
 draws from its own generator, and does no input or output. The ordinary path of a request is that of
 docs/design.md: average the load reports, strike out busy upstreams, spin a roulette wheel over the rest.
 
-Order of the parts: settings, helpers, upstream record, request record, Balancer (membership, reports,
-wheel, quarantine, slow start, requests, further attempts, connections, probes, discovery).
+Order of the parts: settings, Balancer (membership, reports, wheel, quarantine, slow start, requests,
+further attempts, connections, probes, discovery).
 """
 
 from __future__ import annotations
 
 import math
 from bisect import bisect_left
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
-from hashlib import blake2b
 from itertools import islice
 from random import Random
 
@@ -23,7 +22,6 @@
     AnswerStarted,
     AttemptEnded,
     CancelAttempt,
-    ClassSettings,
     ClientLeft,
     CloseIdle,
     Effect,
@@ -48,16 +46,16 @@
     Subscribe,
     TimerFired,
 )
+from indigokeel.decision.records import QUARANTINE_FIRST, SHED_TAU, Attempt, ClassStats, Request, Upstream
+from indigokeel.decision.sums import MASK, Decaying, Estimate, hash64, mix
 
 # --- the settings of the mechanism, each with its reason --------------------------------------
 
-WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
 BUSY = 0.95  # an upstream over this utilisation is struck out: a queue grows without bound near 1
 LOW_LOAD_RATIO = 0.5  # BP-65's lowLoadBookieRatio: with more than this struck out, pick at random
 QUARANTINE_DOUBT = 0.0005  # an upstream is quarantined after as many failures in a row as a healthy one
 QUARANTINE_MOST = 6  # ... shows with less than this chance, given how common failures are; at most these
 QUARANTINE_RATIO = 0.7  # chance that a sidecar quarantines, so that not all drop an upstream at once
-QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
 QUARANTINE_VISITS = 0.3  # ... but this part of the time until a sidecar would use it again by chance
 HANG_FELT = 5.0  # a time-out this many times over the usual latency counts as two failures
 QUARANTINE_LONGEST = 10.0  # s; ... doubled while it keeps failing, up to this
@@ -69,10 +67,6 @@
 LEAN_FROM = 2.0  # times its part of the own attempts out, from where a slice shrinks ...
 LEAN = 4.0  # ... and how steeply
 SUSPECT = 0.1  # what is left of the slice of an upstream with an answer overdue
-CAPACITY_MIN_UTIL = 0.15  # below this utilisation rate / utilisation is mostly noise
-CAPACITY_PRIOR = 2.0  # reports that the belief "like others of its kind and cell" is worth
-HEALTH_TAU = 10.0  # s in which what own latencies told loses most of its weight
-HEALTH_PRIOR = 2.0  # answers that the belief "as fast as the others" is worth; 8 lost on full-size days
 FAILURE_FELT = 3.0  # a refusal or an error counts like an answer this many times slower than expected
 PATIENCE = 3.0  # an answer is overdue after this multiple of the usual time
 RETRY_SHARE = 0.2  # further attempts for each timely answer
@@ -83,7 +77,6 @@
 PROBE_SHARE = 0.25  # probes for each request, where reports come by probe only
 REFRESH = 0.25  # s that a look at an upstream holds while there is no news of it
 RATE_TAU = 5.0  # s over which the own request rate is averaged
-SHED_TAU = 4.0  # s over which requests are counted, for each class's part in what is shed
 LATE_TAU = 1.0  # s over which late and timely answers are counted
 SHED_LATE = 0.2  # requests are shed while there are more than so many late answers for a timely one
 SHED_LEAST = 2.0  # ... and these
@@ -97,183 +90,6 @@
 IDLE_KEPT_FREE = 64  # ... and where not: a handshake costs the upstream work and the request time
 MARGIN = 0.05  # s kept clear of every time that a rule states
 
-_MASK = (1 << 64) - 1
-
-
-def _hash64(text: str) -> int:
-    """A hash that is the same in every process, unlike the built-in one."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def _mix(a: int, b: int) -> int:
-    """Mix two 64-bit numbers into one that looks random (the finaliser of splitmix64)."""
-    h = ((a ^ b) * 0x9E3779B97F4A7C15) & _MASK
-    h = ((h ^ (h >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
-    h = ((h ^ (h >> 27)) * 0x94D049BB133111EB) & _MASK
-    return h ^ (h >> 31)
-
-
-class Decaying:
-    """A sum whose terms lose their weight over ``tau`` seconds."""
-
-    __slots__ = ("_at", "_sum", "tau")
-
-    def __init__(self, tau: float) -> None:
-        self.tau, self._sum, self._at = tau, 0.0, 0.0
-
-    def add(self, now: float, amount: float) -> None:
-        self._sum = self.value(now) + amount
-        self._at = now
-
-    def value(self, now: float) -> float:
-        return self._sum * math.exp((self._at - now) / self.tau) if self._sum else 0.0
-
-
-class Estimate:
-    """A running mean that is drawn to its parent's while it rests on little."""
-
-    __slots__ = ("_count", "_mean", "_parent", "_slowest")
-
-    def __init__(self, parent: Estimate | None, slowest: float) -> None:
-        self._parent, self._slowest = parent, slowest
-        self._count, self._mean = 0.0, 0.0
-
-    def add(self, value: float) -> None:
-        self._count += 1.0
-        self._mean += max(1.0 / self._count, self._slowest) * (value - self._mean)
-        if self._parent is not None:
-            self._parent.add(value)
-
-    def value(self) -> float:
-        """The estimate; 0 where nothing is known."""
-        if self._parent is None:
-            return self._mean
-        weight = min(self._count, 1.0 / self._slowest)
-        return (weight * self._mean + CAPACITY_PRIOR * self._parent.value()) / (weight + CAPACITY_PRIOR)
-
-
-class Upstream:
-    """What this sidecar knows of one upstream."""
-
-    __slots__ = (
-        "answered", "capacity", "failures", "fresh_until", "health_sum", "health_weight", "jailed_until",
-        "jail_time", "member", "open", "overdue", "probed", "probing", "ramp", "rate", "reports", "salt",
-        "scale", "size", "utilisation", "view",
-    )  # fmt: skip
-
-    def __init__(self, member: Member, group: Estimate) -> None:
-        self.member = member
-        # Drawn to what is known of its like, the same kind in the same cell.
-        self.capacity = Estimate(group, 0.2)  # requests a second at full utilisation, for each unit of scale
-        self.salt = _hash64(member.id)
-        self.reports: deque[tuple[float, float, float]] = deque()  # (time, rate, utilisation)
-        self.rate = self.utilisation = -1.0  # the averages over the window; -1: missing
-        self.health_sum = Decaying(HEALTH_TAU)  # of log(own latency / expected)
-        self.health_weight = Decaying(HEALTH_TAU)
-        self.scale = 1.0
-        self.failures = 0
-        self.answered = -math.inf  # when it last served
-        self.fresh_until = -math.inf  # until then the next three need no new look
-        self.size = self.ramp = self.view = 1.0
-        self.jailed_until = 0.0
-        self.jail_time = QUARANTINE_FIRST
-        self.open = 0  # own attempts out
-        self.overdue = 0  # those of them that have been out for too long
-        self.probing = False
-        self.probed = -math.inf
-
-    def report(self, now: float, rate: float, utilisation: float) -> None:
-        self.reports.append((now, rate, utilisation))
-        self.fresh_until = -math.inf
-        if utilisation > CAPACITY_MIN_UTIL and rate > 0.0:
-            self.capacity.add(math.log(rate / (utilisation * self.scale)))
-
-    def average(self, now: float) -> None:
-        """Let reports older than the window go and average the rest."""
-        while self.reports and self.reports[0][0] < now - WINDOW:
-            self.reports.popleft()
-        count = len(self.reports)
-        if count == 0:
-            self.rate = self.utilisation = -1.0
-            return
-        self.rate = sum(item[1] for item in self.reports) / count
-        self.utilisation = sum(item[2] for item in self.reports) / count
-
-    def felt(self, now: float, ratio: float) -> None:
-        """Take in one own latency, as a multiple of what was expected."""
-        self.health_sum.add(now, math.log(min(max(ratio, 0.2), 20.0)))
-        self.health_weight.add(now, 1.0)
-        self.fresh_until = -math.inf
-
-    def slowness(self, now: float) -> float:
-        """How slow own answers were, 1 being as expected; drawn to 1 where few are known."""
-        weight = self.health_weight.value(now)
-        return math.exp(self.health_sum.value(now) / (weight + HEALTH_PRIOR)) if weight else 1.0
-
-
-class Attempt:
-    """One attempt that has been sent."""
-
-    __slots__ = ("called_off", "copy", "expected", "may_have_run", "out", "overdue", "sent", "upstream")
-
-    def __init__(self, upstream: Upstream, sent: float, expected: float) -> None:
-        self.upstream, self.sent, self.expected = upstream, sent, expected
-        self.out, self.overdue = True, False
-        self.called_off = False
-        self.copy = False  # sent while another was out
-        self.may_have_run = True  # until its outcome proves otherwise
-
-
-class Request:
-    """One request from its arrival until it is over and all its attempts have ended."""
-
-    __slots__ = (
-        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "latest", "started",
-    )  # fmt: skip
-
-    def __init__(self, event: RequestArrived, cls: ClassSettings, key: int, now: float) -> None:
-        self.id, self.cls, self.hint = event.id, cls, event.hint
-        self.key = key
-        self.started = False  # a streamed answer has begun
-        self.deadline = now + event.budget
-        self.aim = now + min(cls.aim + cls.aim_stretch * event.hint, event.budget)
-        self.latest = self.deadline if cls.late_worth > 0.0 or cls.streaming else self.aim
-        self.attempts: list[Attempt] = []
-        self.done = False
-
-    def out(self) -> int:
-        return sum(attempt.out for attempt in self.attempts)
-
-    def anchor(self) -> Attempt | None:
-        """The first attempt that may have run: its group and its time bind a keyed repeat."""
-        for attempt in self.attempts:
-            if attempt.may_have_run:
-                return attempt
-        return None
-
-
-class ClassStats:
-    """What this sidecar has seen of one class: its usual latency and hint."""
-
-    __slots__ = ("arrivals", "hint", "latency", "shed", "worth")
-
-    def __init__(self, cls: ClassSettings) -> None:
-        self.arrivals = Decaying(SHED_TAU)
-        self.worth = cls.worth
-        self.shed = 0.0  # the part of it that is refused at once
-        self.latency = cls.aim / 4.0  # until seen: aims are commonly a few times the usual latency
-        self.hint = 0.0
-
-    def seen(self, latency: float, hint: float) -> None:
-        self.latency += 0.05 * (latency - self.latency)
-        if hint > 0.0:
-            self.hint = hint if self.hint == 0.0 else self.hint + 0.05 * (hint - self.hint)
-
-    def expected(self, hint: float) -> float:
-        if hint <= 0.0 or self.hint == 0.0:
-            return self.latency
-        return self.latency * (0.5 + 0.5 * min(hint / self.hint, 6.0))
-
 
 def check(settings: Settings) -> None:
     """Raise ValueError, naming the field, on settings that no decision can rest on."""
@@ -404,9 +220,9 @@
         serving = [u for u in self._upstreams.values() if u.member.state is State.SERVING]
         self._ring = sorted(serving, key=lambda u: u.salt)
         self._salts = [u.salt for u in self._ring]
-        mine = _mix(self._settings.me + 1, 0x5851F42D4C957F2D)
+        mine = mix(self._settings.me + 1, 0x5851F42D4C957F2D)
         lanes: dict[str, list[Upstream]] = {}
-        for upstream in sorted(serving, key=lambda u: _mix(u.salt, mine)):
+        for upstream in sorted(serving, key=lambda u: mix(u.salt, mine)):
             lanes.setdefault(upstream.member.zone, []).append(upstream)
         self._subset_until = -math.inf
         order = [
@@ -531,7 +347,7 @@
         and sidecars with like slices agree on the upstream that has met the key."""
         best, best_score = chosen[0], math.inf
         for upstream, part in zip(chosen, slices, strict=True):
-            score = -math.log((_mix(upstream.salt, key) + 1) / (_MASK + 2)) / part
+            score = -math.log((mix(upstream.salt, key) + 1) / (MASK + 2)) / part
             if score < best_score:
                 best, best_score = upstream, score
         return best
@@ -554,7 +370,7 @@
             self._keys = {k: n / 2.0 for k, n in keys.items() if n >= 2.0}
             self._keys_total = sum(self._keys.values())
         ways = 1 + int(share * len(self._ring) * HOT_KEY_SPREAD)
-        return _mix(key, self._random.randrange(ways) + 1) if ways > 1 else _mix(key, 1)
+        return mix(key, self._random.randrange(ways) + 1) if ways > 1 else mix(key, 1)
 
     # --- slow start -----------------------------------------------------------------------------
 
@@ -608,7 +424,7 @@
             raise ValueError(f"request of a class that the settings do not name: {event.class_name}")
         key = 0
         if event.key and self._settings.warm_keys:
-            key = self._spread_key(_hash64(event.key))
+            key = self._spread_key(hash64(event.key))
         request = Request(event, cls, key, now)
         self._requests[event.id] = request
         self._shed_base.add(now, 1.0)
@@ -686,7 +502,7 @@
         upstream.open -= 1
         if attempt.overdue:
             upstream.overdue -= 1
-            upstream.fresh_until = -math.inf
+            upstream.changed()
         self._take_report(now, upstream, event.load)
         self._learn(now, request, attempt, event)
         self._close_surplus(upstream)
@@ -807,7 +623,7 @@
             return
         attempt.overdue = True
         attempt.upstream.overdue += 1
-        attempt.upstream.fresh_until = -math.inf
+        attempt.upstream.changed()
         if request.done or not self._settings.limits.second_copies or self._copy_tokens < 1.0:
             return
         if not self._worth_trying(now, request):
--- /dev/null
+++ b/indigokeel/decision/records.py
@@ -0,0 +1,135 @@
+"""What the decision module remembers: of an upstream, an attempt, a request and a class."""
+
+from __future__ import annotations
+
+import math
+
+from indigokeel.decision.interface import ClassSettings, Member, RequestArrived
+from indigokeel.decision.sums import Decaying, Estimate, Window, hash64
+
+WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
+QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
+CAPACITY_MIN_UTIL = 0.15  # below this utilisation rate / utilisation is mostly noise
+HEALTH_TAU = 10.0  # s in which what own latencies told loses most of its weight
+HEALTH_PRIOR = 2.0  # answers that the belief "as fast as the others" is worth; 8 lost on full-size days
+SHED_TAU = 4.0  # s over which requests are counted, for each class's part in what is shed
+
+
+class Upstream:
+    """What this sidecar knows of one upstream."""
+
+    __slots__ = (
+        "answered", "capacity", "failures", "fresh_until", "health_sum", "health_weight", "jailed_until",
+        "jail_time", "member", "open", "overdue", "probed", "probing", "ramp", "rate", "reports", "salt",
+        "scale", "size", "utilisation", "view",
+    )  # fmt: skip
+
+    def __init__(self, member: Member, group: Estimate) -> None:
+        self.member = member
+        # Drawn to what is known of its like, the same kind in the same cell.
+        self.capacity = Estimate(group, 0.2)  # requests a second at full utilisation, for each unit of scale
+        self.salt = hash64(member.id)
+        self.reports = Window(WINDOW)  # of rate and utilisation
+        self.rate = self.utilisation = -1.0  # the averages over the window; -1: missing
+        self.health_sum = Decaying(HEALTH_TAU)  # of log(own latency / expected)
+        self.health_weight = Decaying(HEALTH_TAU)
+        self.scale = 1.0
+        self.failures = 0
+        self.answered = -math.inf  # when it last served
+        self.fresh_until = -math.inf  # until then the next three need no new look
+        self.size = self.ramp = self.view = 1.0
+        self.jailed_until = 0.0
+        self.jail_time = QUARANTINE_FIRST
+        self.open = 0  # own attempts out
+        self.overdue = 0  # those of them that have been out for too long
+        self.probing = False
+        self.probed = -math.inf
+
+    def changed(self) -> None:
+        """There is news of it: it is looked at again before the next pick."""
+        self.fresh_until = -math.inf
+
+    def report(self, now: float, rate: float, utilisation: float) -> None:
+        self.reports.add(now, rate, utilisation)
+        self.changed()
+        if utilisation > CAPACITY_MIN_UTIL and rate > 0.0:
+            self.capacity.add(math.log(rate / (utilisation * self.scale)))
+
+    def average(self, now: float) -> None:
+        """Let reports older than the window go and average the rest."""
+        self.rate, self.utilisation = self.reports.means(now) or (-1.0, -1.0)
+
+    def felt(self, now: float, ratio: float) -> None:
+        """Take in one own latency, as a multiple of what was expected."""
+        self.health_sum.add(now, math.log(min(max(ratio, 0.2), 20.0)))
+        self.health_weight.add(now, 1.0)
+        self.changed()
+
+    def slowness(self, now: float) -> float:
+        """How slow own answers were, 1 being as expected; drawn to 1 where few are known."""
+        weight = self.health_weight.value(now)
+        return math.exp(self.health_sum.value(now) / (weight + HEALTH_PRIOR)) if weight else 1.0
+
+
+class Attempt:
+    """One attempt that has been sent."""
+
+    __slots__ = ("called_off", "copy", "expected", "may_have_run", "out", "overdue", "sent", "upstream")
+
+    def __init__(self, upstream: Upstream, sent: float, expected: float) -> None:
+        self.upstream, self.sent, self.expected = upstream, sent, expected
+        self.out, self.overdue = True, False
+        self.called_off = False
+        self.copy = False  # sent while another was out
+        self.may_have_run = True  # until its outcome proves otherwise
+
+
+class Request:
+    """One request from its arrival until it is over and all its attempts have ended."""
+
+    __slots__ = (
+        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "latest", "started",
+    )  # fmt: skip
+
+    def __init__(self, event: RequestArrived, cls: ClassSettings, key: int, now: float) -> None:
+        self.id, self.cls, self.hint = event.id, cls, event.hint
+        self.key = key
+        self.started = False  # a streamed answer has begun
+        self.deadline = now + event.budget
+        self.aim = now + min(cls.aim + cls.aim_stretch * event.hint, event.budget)
+        self.latest = self.deadline if cls.late_worth > 0.0 or cls.streaming else self.aim
+        self.attempts: list[Attempt] = []
+        self.done = False
+
+    def out(self) -> int:
+        return sum(attempt.out for attempt in self.attempts)
+
+    def anchor(self) -> Attempt | None:
+        """The first attempt that may have run: its group and its time bind a keyed repeat."""
+        for attempt in self.attempts:
+            if attempt.may_have_run:
+                return attempt
+        return None
+
+
+class ClassStats:
+    """What this sidecar has seen of one class: its usual latency and hint."""
+
+    __slots__ = ("arrivals", "hint", "latency", "shed", "worth")
+
+    def __init__(self, cls: ClassSettings) -> None:
+        self.arrivals = Decaying(SHED_TAU)
+        self.worth = cls.worth
+        self.shed = 0.0  # the part of it that is refused at once
+        self.latency = cls.aim / 4.0  # until seen: aims are commonly a few times the usual latency
+        self.hint = 0.0
+
+    def seen(self, latency: float, hint: float) -> None:
+        self.latency += 0.05 * (latency - self.latency)
+        if hint > 0.0:
+            self.hint = hint if self.hint == 0.0 else self.hint + 0.05 * (hint - self.hint)
+
+    def expected(self, hint: float) -> float:
+        if hint <= 0.0 or self.hint == 0.0:
+            return self.latency
+        return self.latency * (0.5 + 0.5 * min(hint / self.hint, 6.0))
