Pick on large fleets from an index, at a cost that no longer grows with fleet and traffic

Change: wheel.py, an index that decides nothing, keeps survivors and struck-out nodes with exact sums; nodes are looked at again on news, when a report falls due, or when drawn. On pools over 16 a node is drawn at random and taken with a chance of its slice over the largest a slice can be (von Neumann's rejection): the odds are those of the whole wheel. Up to 16 the path is the old one. Further attempts on large pools choose from a sample of 32, or from the cell by an index.

Chi-square of 20,000 picks on 100 nodes against the whole wheel is under the 0.1% point, with and without missing reports.

--- a/benchmarks/pick.py
+++ b/benchmarks/pick.py
@@ -13,6 +13,7 @@
 import time
 from random import Random
 
+from indigokeel.decision import balancer as balancer_module
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import Balancer
 
@@ -87,6 +88,31 @@
     }
 
 
+def compare(sizes: list[int], rates: list[int], seeds: int, seconds: float) -> None:
+    """The index against the whole wheel laid out, on the same seeds: cost, and how evenly load lies."""
+    for nodes in sizes:
+        for rate in rates:
+            rows: dict[str, list[dict[str, float]]] = {"index": [], "whole": []}
+            for seed in range(1, seeds + 1):
+                for kind, found in rows.items():
+                    balancer_module.WHEEL_FROM = 16 if kind == "index" else 10**9
+                    found.append(play(nodes, rate, int(rate * seconds), seed))
+            differences = [
+                a["imbalance"] - b["imbalance"] for a, b in zip(rows["index"], rows["whole"], strict=True)
+            ]
+            spread = statistics.stdev(differences) / len(differences) ** 0.5 if seeds > 1 else 0.0
+            print(
+                f"{nodes} nodes, {rate} jobs/s: "
+                + ", ".join(
+                    f"{kind} {statistics.median(f['us'] for f in found):.0f} us, imbalance "
+                    f"{statistics.fmean(f['imbalance'] for f in found):.3f}"
+                    for kind, found in rows.items()
+                )
+                + f"; difference {statistics.fmean(differences):+.4f} (standard error {spread:.4f})",
+                flush=True,
+            )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="*", default=SIZES)
@@ -94,7 +120,11 @@
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", action="store_true")
+    parser.add_argument("--compare", type=int, default=0, metavar="SEEDS", help="index against whole wheel")
     options = parser.parse_args()
+    if options.compare:
+        compare(options.sizes, options.rates, options.compare, options.seconds)
+        return
     for nodes in options.sizes:
         row = [play(nodes, rate, int(rate * options.seconds), options.seed) for rate in options.rates]
         if options.json:
--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -48,6 +48,7 @@
 )
 from indigokeel.decision.records import QUARANTINE_FIRST, SHED_TAU, Attempt, ClassStats, Request, Upstream
 from indigokeel.decision.sums import MASK, Decaying, Estimate, hash64, mix
+from indigokeel.decision.wheel import Wheel
 
 # --- the settings of the mechanism, each with its reason --------------------------------------
 
@@ -61,6 +62,9 @@
 QUARANTINE_LONGEST = 10.0  # s; ... doubled while it keeps failing, up to this
 SUBSET_LEAST = 12  # upstreams a quiet sidecar uses: fewer leave no choice when some are bad
 SUBSET_SECONDS = 5.0  # s of own traffic a subset is sized for: one request each in that time
+WHEEL_FROM = 16  # upstreams in a pool, from where one is drawn at a time instead of all being laid out
+DRAWS = 64  # before all are laid out after all
+SAMPLE = 32  # upstreams of a large pool that a further attempt is chosen from
 KEY_WINDOW = 20  # candidates weighed for a warm key: bounds the cost of a pick on any fleet
 HOT_KEY_SPREAD = 2.0  # a key with the traffic of one upstream is spread over this many more
 HOME_PULL = 1.5  # a slice in the own zone grows by this where crossing zones has a price
@@ -124,6 +128,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._ring: list[Upstream] = []  # by salt, for keys
         self._salts: list[int] = []
+        self._cells: dict[int, list[Upstream]] = {}  # the ring by cell
         self._ranked: list[Upstream] = []  # in this sidecar's own order
         self._requests: dict[str, Request] = {}
         self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
@@ -146,6 +151,7 @@
         self._sends = self._served = 1.0  # attempts and answers of late
         self._subset_now: list[Upstream] = []
         self._subset_until = -math.inf
+        self._wheel = Wheel(self._look, BUSY)  # over the subset, where that is large
         self._asked = False
         self._watch_delay = WATCH_FIRST
         self._falling_back = False
@@ -220,6 +226,9 @@
         serving = [u for u in self._upstreams.values() if u.member.state is State.SERVING]
         self._ring = sorted(serving, key=lambda u: u.salt)
         self._salts = [u.salt for u in self._ring]
+        self._cells = {}
+        for upstream in self._ring:
+            self._cells.setdefault(upstream.member.cell, []).append(upstream)
         mine = mix(self._settings.me + 1, 0x5851F42D4C957F2D)
         lanes: dict[str, list[Upstream]] = {}
         for upstream in sorted(serving, key=lambda u: mix(u.salt, mine)):
@@ -264,6 +273,7 @@
             free = (u for u in self._ranked if u.jailed_until <= now)
             self._subset_now = list(islice(free, size))
             self._subset_until = now + REFRESH
+            self._wheel.fill(now, self._subset_now if len(self._subset_now) > WHEEL_FROM else ())
         return self._subset_now
 
     def _key_window(self, key: int) -> list[Upstream]:
@@ -279,16 +289,74 @@
         warm = request.key  # 0 where keys do not stay warm
         if not request.attempts:
             pool = self._key_window(warm) if warm else self._subset(now)
+            if not warm and len(self._wheel):
+                return self._draw(now)
             free = [u for u in pool if u.jailed_until <= now] or self._ring
             return self._spin(now, free, warm) if free else None
         # A further attempt goes elsewhere, and never to a cold upstream: trouble among the warm ones
         # must not be turned on those that can bear least.
         pool = self._ring if request.anchor() is not None else self._subset(now)
+        if request.anchor() is not None and request.cls.group is Group.CELL:
+            pool = self._cells.get(request.attempts[0].upstream.member.cell, pool)
         tried = [attempt.upstream for attempt in request.attempts]
-        free = [u for u in pool if u not in tried and self._same_group(request, u.member)]
-        free = [u for u in free if u.jailed_until <= now and self._ramp(now, u) >= 1.0]
+
+        def open_to(upstream: Upstream) -> bool:
+            return (
+                upstream not in tried
+                and self._same_group(request, upstream.member)
+                and upstream.jailed_until <= now
+                and self._ramp(now, upstream) >= 1.0
+            )
+
+        if len(pool) > SAMPLE and (free := list(filter(open_to, self._random.sample(pool, SAMPLE)))):
+            return self._spin(now, free, warm)
+        free = list(filter(open_to, pool))
         return self._spin(now, free, warm) if free else None
 
+    def _draw(self, now: float) -> Upstream:
+        """Spin the wheel over a large subset without laying it out: draw a survivor at random and take it
+        with a chance of its slice over the largest that a slice can be, else draw again. The odds are those
+        of the whole wheel (von Neumann's rejection), by what was last seen of each."""
+        wheel, random = self._wheel, self._random
+        wheel.refresh(now)
+        left, struck = wheel.survivors, wheel.struck
+        fallback = not left.members or left.warm < (left.warm + struck.warm) * (1.0 - LOW_LOAD_RATIO)
+        self._note_fallback(fallback)
+        sides = (left, struck) if fallback else (left,)
+        mean = 0.0 if fallback else left.rate()
+        number = sum(len(side.members) for side in sides)
+        held = sum(side.open for side in sides) / max(sum(side.views() for side in sides), 1e-9) + 1.0
+        unit = mean if mean > 0.0 else 1.0
+
+        def drawn() -> Upstream:
+            at = int(random.random() * number)
+            first = left.members
+            return first[at] if at < len(first) else struck.members[at - len(first)]
+
+        def part(upstream: Upstream) -> float:
+            if mean <= 0.0:
+                return upstream.view
+            return upstream.view / ((upstream.rate / upstream.size if upstream.rate >= 0.0 else mean) + mean)
+
+        for _ in range(DRAWS):
+            upstream = drawn()
+            if now >= upstream.fresh_until and not wheel.look(now, upstream) and not fallback:
+                number = len(left.members)  # it is struck out
+                if not number:
+                    break
+                continue
+            mine = part(upstream)
+            over = upstream.open / (held * upstream.view * LEAN_FROM)
+            if over > 1.0:
+                mine *= over**-LEAN
+            if upstream.ramp < 1.0:  # against the even slice of some warm ones, drawn likewise
+                warm = [part(u) for u in (drawn() for _ in range(SAMPLE)) if u.ramp >= 1.0]
+                if warm:
+                    mine = min(mine, upstream.ramp * sum(warm) / len(warm) * self._cold_part())
+            if random.random() * wheel.most < mine * unit:
+                return upstream
+        return self._spin(now, self._subset_now, 0)
+
     def _spin(self, now: float, candidates: list[Upstream], key: int) -> Upstream:
         survivors, total, known = [], 0.0, 0
         for upstream in candidates:
@@ -389,12 +457,16 @@
         warm = [part for part, u in zip(slices, chosen, strict=True) if u.ramp >= 1.0]
         if not warm or len(warm) == len(chosen):
             return
-        surplus = max(self._sends / max(self._served, 1.0), 1.0)
-        even = sum(warm) / len(warm) * min(COLD_CAP * self._settings.safety.tip_multiple / surplus, 1.5)
+        even = sum(warm) / len(warm) * self._cold_part()
         for i, upstream in enumerate(chosen):
             if upstream.ramp < 1.0:
                 slices[i] = min(slices[i], upstream.ramp * even)
 
+    def _cold_part(self) -> float:
+        """Of an even slice, by its ramp, what a cold upstream may have at most."""
+        surplus = max(self._sends / max(self._served, 1.0), 1.0)
+        return min(COLD_CAP * self._settings.safety.tip_multiple / surplus, 1.5)
+
     # --- quarantine -----------------------------------------------------------------------------
 
     def _failed(self, now: float, upstream: Upstream, weight: int = 1) -> None:
@@ -467,6 +539,8 @@
         attempt = Attempt(upstream, now, expected)
         request.attempts.append(attempt)
         upstream.open += 1
+        if upstream.wheel is not None:
+            upstream.wheel.opened(upstream, 1)
         self._sends = 0.98 * self._sends + 1.0
         self._served *= 0.98
         self._idle.pop(upstream.member.id, None)
@@ -500,6 +574,8 @@
         attempt.may_have_run = not event.ending.never_ran
         upstream = attempt.upstream
         upstream.open -= 1
+        if upstream.wheel is not None:
+            upstream.wheel.opened(upstream, -1)
         if attempt.overdue:
             upstream.overdue -= 1
             upstream.changed()
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 from indigokeel.decision.interface import ClassSettings, Member, RequestArrived
 from indigokeel.decision.sums import Decaying, Estimate, Window, hash64
 
+if TYPE_CHECKING:
+    from indigokeel.decision.wheel import Wheel
+
 WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
 QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
 CAPACITY_MIN_UTIL = 0.15  # below this utilisation rate / utilisation is mostly noise
@@ -21,7 +25,7 @@
     __slots__ = (
         "answered", "capacity", "failures", "fresh_until", "health_sum", "health_weight", "jailed_until",
         "jail_time", "member", "open", "overdue", "probed", "probing", "ramp", "rate", "reports", "salt",
-        "scale", "size", "utilisation", "view",
+        "scale", "size", "utilisation", "view", "wheel",
     )  # fmt: skip
 
     def __init__(self, member: Member, group: Estimate) -> None:
@@ -44,10 +48,13 @@
         self.overdue = 0  # those of them that have been out for too long
         self.probing = False
         self.probed = -math.inf
+        self.wheel: Wheel | None = None  # the index it stands in, on large fleets
 
     def changed(self) -> None:
         """There is news of it: it is looked at again before the next pick."""
         self.fresh_until = -math.inf
+        if self.wheel is not None:
+            self.wheel.news[self] = None
 
     def report(self, now: float, rate: float, utilisation: float) -> None:
         self.reports.add(now, rate, utilisation)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
 from indigokeel.decision import interface as api
-from indigokeel.decision.balancer import QUARANTINE_LONGEST, Balancer
+from indigokeel.decision.balancer import BUSY, QUARANTINE_LONGEST, Balancer
 from tests.conftest import KEYED, SAFE, UNSAFE, Driver, make_members, make_settings, of, sends
 
 
@@ -420,3 +421,102 @@
     got = picks(driver, 300)
     assert all(got.get(m.id, 0) > 0 for m in members[:3])
     assert sum(got.get(m.id, 0) for m in fresh) < 100
+
+
+def known_fleet(count: int, rates: list[float], **more: object) -> Driver:
+    """A driver whose module has heard each rate at each node, all at a standing clock."""
+    driver = Driver(make_settings(**more), make_members(count))
+    names = [m.id for m in make_members(count)]
+    picks(driver, 600)  # traffic for which the subset is the whole fleet
+    driver.now += 0.3
+    heard: set[str] = set()
+    for _ in range(100 * count):
+        _, actions = driver.request()
+        send = sends(actions)[0]
+        # Of so low a utilisation nothing is learnt of sizes: all slices come from the rates.
+        driver.end(send, elapsed=0.125, load=load(rates[names.index(send.upstream)], 0.1))
+        heard.add(send.upstream)
+    assert len(heard) == count
+    return driver
+
+
+@pytest.mark.parametrize("known", [100, 70])
+def test_odds_of_a_large_fleet_are_those_of_the_whole_wheel(known: int) -> None:
+    """Chi-square of 20,000 picks against the slices of docs/design.md; nodes without a report earn the
+    average slice."""
+    rates = [5.0 + 3.0 * (i % 20) for i in range(100)]
+    driver = known_fleet(100, rates)
+    if known < 100:  # the reports of some fall out of the window
+        silent = {f"10.0.0.{i}:80" for i in range(known, 100)}
+        driver.now += 2.0
+        heard: set[str] = set()
+        for _ in range(10_000):
+            _, actions = driver.request()
+            send = sends(actions)[0]
+            number = int(send.upstream.split(".")[3].split(":")[0])
+            driver.end(
+                send, elapsed=0.125, load=None if send.upstream in silent else load(rates[number], 0.1)
+            )
+            heard |= {send.upstream} - silent
+        assert len(heard) == known
+        driver.now += 1.5
+    mean = sum(rates[:known]) / known
+    slices = [1.0 / ((rates[i] if i < known else mean) + mean) for i in range(100)]
+    got = dict.fromkeys((m.id for m in make_members(100)), 0)
+    for _ in range(20_000):
+        _, actions = driver.request()
+        send = sends(actions)[0]
+        got[send.upstream] += 1
+        driver.end(send, elapsed=0.125)
+    expected = [20_000 * part / sum(slices) for part in slices]
+    chi = sum((n - e) ** 2 / e for n, e in zip(got.values(), expected, strict=True))
+    assert chi < 148.2  # the 0.1% point for 99 degrees of freedom
+
+
+def test_large_fleet_falls_back_to_chance_and_spares_the_cold() -> None:
+    driver = Driver(make_settings(), make_members(100))
+    for _ in range(4000):
+        driver.now += 0.0005
+        _, actions = driver.request()
+        send = sends(actions)[0]
+        number = int(send.upstream.split(".")[3].split(":")[0])
+        driver.end(send, elapsed=0.125, load=load(20.0, 1.0 if number < 40 else 0.2))
+    assert not any(int(name.split(".")[3].split(":")[0]) < 40 for name in picks(driver, 300))
+    driver.now += 3.1
+    for _ in range(4000):
+        driver.now += 0.0005
+        _, actions = driver.request()
+        send = sends(actions)[0]
+        driver.end(send, elapsed=0.125, load=load(20.0, 1.0))
+    cold = tuple(replace(m, started=driver.now) for m in make_members(110)[100:])
+    driver.news(cold)
+    got = picks(driver, 6000)
+    new = sum(got.get(m.id, 0) for m in cold)
+    # At random among all, the cold by their ramp: 10 of 110 at 0.3 of a part each.
+    assert len(got) > 100 and 0.3 < new / (6000 * 3.0 / 103.0) < 1.6
+
+
+def test_index_of_a_large_fleet_keeps_exact_sums() -> None:
+    """After any sequence of news, expiry and membership the sums equal those made anew."""
+    random = Random(5)
+    driver = Driver(make_settings(), make_members(60))
+    wheel = driver.balancer._wheel
+    for step in range(6000):
+        driver.now += random.choice((0.0, 0.001, 0.02))
+        _, actions = driver.request()
+        send = sends(actions)[0]
+        if random.random() < 0.9:
+            driver.end(send, elapsed=0.1, load=load(random.uniform(0, 50), random.uniform(0.1, 1.05)))
+        if step % 500 == 0:
+            gone = replace(make_members(60)[random.randrange(60)], state=api.State.GONE)
+            driver.news((gone,))
+            driver.news(make_members(60))
+        wheel.refresh(driver.now)
+        for side in (wheel.survivors, wheel.struck):
+            assert side.open == sum(u.open for u in side.members)
+            assert side.known == sum(u.rate >= 0.0 for u in side.members)
+            assert side.views() == pytest.approx(sum(u.view for u in side.members), abs=1e-6)
+        if step % 50 == 0:
+            for side, busy in ((wheel.survivors, False), (wheel.struck, True)):
+                assert all((u.utilisation > BUSY) is busy for u in side.members)
+    assert len(wheel) == 60
