Turn jobs away at the door while the sidecar's own loop falls behind, least worth first

Need: a sidecar asked for more than its core carries knew nothing of it. It took every job in, all were late, and each late one cost as much as a timely one.

Facade.turn_away asks before any book is opened; the answer goes out at once with Retry-After.

--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -23,12 +23,22 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS: dict[str, Any] = {
-    "classes": [{"name": "view", "objective-s": 0.6, "deadline-s": 1.2, "effect": "safe"}],
+    "classes": [
+        {"name": "view", "objective-s": 0.6, "deadline-s": 1.2, "effect": "safe", "importance": 2.0},
+        {"name": "order", "objective-s": 0.6, "deadline-s": 1.2, "effect": "safe", "importance": 10.0},
+    ],
     "balancers": 1,
     "zone": "z",
     "membership-mode": "on_request",
     "telemetry": {"how": "answers"},
-    "limits": {"second-copies": True, "max-attempts": 5, "connect-timeout-s": 0.25, "keepalive-s": 30.0},
+    "limits": {
+        "second-copies": True,
+        "max-attempts": 5,
+        "connect-timeout-s": 0.25,
+        "keepalive-s": 30.0,
+        "retry-after": True,
+        "max-retry-after-s": 1.2,
+    },
 }
 
 
--- /dev/null
+++ b/benchmarks/idle.py
@@ -0,0 +1,103 @@
+"""Memory per idle connection of the daemon, on each side.
+
+Submitters: connections that have asked once and then say nothing, counted before the daemon ends them.
+Execute nodes: connections of a manager in this process, all idle. Run as
+``python -m benchmarks.idle [--connections N]``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import resource
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from benchmarks.exchange import memory_kb, roles, start_daemon
+from indigokeel.net.connections import Bounds, Connections, Link
+
+_JOB = (
+    b"GET /view/k%d HTTP/1.1\r\nHost: a\r\nRequest-Id: %x\r\nRequest-Class: view\r\n"
+    b"Request-Timeout-Ms: 1000\r\n\r\n"
+)
+
+
+async def _ask(port: int, connections: int) -> list[asyncio.StreamWriter]:
+    """As many connections, each with one job served."""
+    open_ = []
+    for number in range(connections):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(_JOB % (number, number))
+        await reader.readuntil(b"done")
+        open_.append(writer)
+    return open_
+
+
+async def _submitters(pid: int, port: int, connections: int) -> float:
+    for writer in await _ask(port, 20):  # warm
+        writer.close()
+    await asyncio.sleep(0.5)
+    before = memory_kb(pid)
+    open_ = await _ask(port, connections)
+    after = memory_kb(pid)
+    for writer in open_:
+        writer.close()
+    return (after - before) * 1024.0 / connections
+
+
+class _Quiet:
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def heard(self, data: bytes) -> None:
+        """Nothing is made of it."""
+
+    def lost(self, unsent: bool) -> None:
+        """Nor of its end."""
+
+
+async def _nodes(port: int, connections: int) -> float:
+    """In this process: links of a manager of its own, all idle."""
+    manager = Connections(
+        Bounds(connections, connections, connections), _Quiet, lambda _: None, lambda *_: None, time.monotonic
+    )
+    up: list[Link] = []
+    before = memory_kb(os.getpid())
+    for _ in range(connections):
+        found = manager.borrow("n", ("127.0.0.1", port), 5.0, lambda link: up.append(link) if link else None)
+        if len(manager.books) % 100 == 0:
+            await asyncio.sleep(0.01)
+        assert not isinstance(found, Link)
+    while len(up) < connections:
+        await asyncio.sleep(0.01)
+    for link in up:
+        manager.give_back(link, True)
+    after = memory_kb(os.getpid())
+    manager.end()
+    return (after - before) * 1024.0 / connections
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--connections", type=int, default=2000)
+    options = parser.parse_args()
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    with roles(("node",), ("discovery",)) as (node, discovery), tempfile.TemporaryDirectory() as name:
+        process, port = start_daemon(Path(name), [node.port], discovery.port, 20 * options.connections)
+        try:
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                nodes = runner.run(_nodes(node.port, options.connections))
+                print(f"to an execute node, idle: {nodes:.0f} bytes", flush=True)
+                held = runner.run(_submitters(process.pid, port, options.connections))
+                print(f"of a submitter, idle after its first job: {held:.0f} bytes", flush=True)
+        finally:
+            process.kill()
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import sys
+import time
+from random import Random
 from typing import Any, cast
 
 import uvloop
@@ -110,10 +113,9 @@
 async def _submit(port: int, connections: int, jobs: int, rate: float) -> None:
     """Send ``jobs`` in all over keep-alive connections, one at a time on each; as fast as answers come, or
     at ``rate`` a second where that is positive. Prints what came, as JSON."""
-    loop = asyncio.get_running_loop()
     served, others, number = 0, 0, 0
     latencies: list[float] = []
-    began = loop.time()
+    began = time.perf_counter()
 
     async def one() -> None:
         nonlocal served, others, number
@@ -121,8 +123,8 @@
         while number < jobs:
             mine, number = number, number + 1
             if rate > 0.0:
-                await asyncio.sleep(max(began + mine / rate - loop.time(), 0.0))
-            sent = loop.time()
+                await asyncio.sleep(max(began + mine / rate - time.perf_counter(), 0.0))
+            sent = time.perf_counter()
             writer.write(
                 b"GET /view/k%d HTTP/1.1\r\nHost: a\r\nRequest-Id: %016x\r\nRequest-Class: view\r\n"
                 b"Tenant: t\r\nRequest-Timeout-Ms: 1000\r\n\r\n" % (mine % 500, mine)
@@ -131,7 +133,7 @@
             at = head.lower().find(b"content-length:")
             length = int(head[at + 15 : head.index(b"\r\n", at)]) if at >= 0 else 0
             await reader.readexactly(length)
-            latencies.append(loop.time() - sent)
+            latencies.append(time.perf_counter() - sent)
             if head.startswith(b"HTTP/1.1 200"):
                 served += 1
             else:
@@ -145,7 +147,7 @@
             {
                 "served": served,
                 "others": others,
-                "seconds": loop.time() - began,
+                "seconds": time.perf_counter() - began,
                 "p50_ms": 1e3 * latencies[len(latencies) // 2],
                 "p99_ms": 1e3 * latencies[int(len(latencies) * 0.99)],
             }
@@ -153,6 +155,109 @@
     )
 
 
+class _Line(asyncio.Protocol):
+    """One submitter's connection of a flood: sends what is due as soon as it is free."""
+
+    def __init__(self, flood: Flood) -> None:
+        self._flood, self._due, self._class = flood, 0.0, ""
+        self._body, self._rest = 0, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._flood.free.append(self)
+
+    def send(self, due: float, job_class: str, message: bytes) -> None:
+        self._due, self._class = due, job_class
+        self._transport.write(message)
+
+    def data_received(self, data: bytes) -> None:
+        self._rest += data
+        end = self._rest.find(b"\r\n\r\n")
+        if end < 0:
+            return
+        at = self._rest.find(b"Content-Length: ")
+        if len(self._rest) < end + 4 + int(self._rest[at + 16 : self._rest.index(b"\r", at)]):
+            return
+        status, self._rest = int(self._rest[9:12]), b""
+        self._flood.done(self, self._class, self._due, status)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._flood.lost(self)
+
+
+class Flood:
+    """Open-loop load: arrivals are fixed ahead, whatever the answers; time counts from the arrival meant."""
+
+    def __init__(self, port: int, lines: int, rate: float, seconds: float, seed: int) -> None:
+        self._port, self._lines, self._rate, self._seconds = port, lines, rate, seconds
+        self._seed, self.free = seed, list[_Line]()
+        self.open: dict[_Line, str] = {}
+        self.counts: dict[str, dict[str, int]] = {}
+        self.turned: list[float] = []
+        self.own_lag = 0.0
+
+    def _count(self, job_class: str, what: str) -> None:
+        row = self.counts.setdefault(job_class, {})
+        row[what] = row.get(what, 0) + 1
+
+    def done(self, line: _Line, job_class: str, due: float, status: int) -> None:
+        self.open.pop(line, None)
+        took = time.perf_counter() - due
+        if status == 200:
+            self._count(job_class, "in_time" if took < 0.6 else "late")
+        else:
+            self._count(job_class, "refused" if status in (429, 503) else "failed")
+            self.turned.append(took)
+        self.free.append(line)
+
+    def lost(self, line: _Line) -> None:
+        job_class = self.open.pop(line, None)
+        if job_class is not None:
+            self._count(job_class, "lost")
+        if line in self.free:
+            self.free.remove(line)
+        asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().create_connection(lambda: _Line(self), "127.0.0.1", self._port)
+
+    async def run(self) -> None:
+        """Play it, and print what came as JSON."""
+        random = Random(self._seed)
+        await asyncio.gather(*(self._connect() for _ in range(self._lines)))
+        number, due = 0, time.perf_counter()
+        end = due + self._seconds
+        while due < end:
+            now = time.perf_counter()
+            if due > now:
+                await asyncio.sleep(min(due - now, 0.002))
+                continue
+            self.own_lag = max(self.own_lag, now - due)
+            job_class = "order" if random.random() < 0.37 else "view"
+            self._count(job_class, "asked")
+            number += 1
+            if self.free:
+                line = self.free.pop()
+                self.open[line] = job_class
+                line.send(
+                    due,
+                    job_class,
+                    b"GET /%s/k%d HTTP/1.1\r\nHost: a\r\nRequest-Id: %x-%d\r\nRequest-Class: %s\r\n"
+                    b"Request-Timeout-Ms: 1200\r\n\r\n"
+                    % (job_class.encode(), number % 500, self._seed, number, job_class.encode()),
+                )
+            else:
+                self._count(job_class, "no_line")
+            due += random.expovariate(self._rate)
+            if number % 20 == 0:
+                await asyncio.sleep(0)
+        await asyncio.sleep(1.5)
+        self.turned.sort()
+        median = self.turned[len(self.turned) // 2] if self.turned else 0.0
+        print(json.dumps({"counts": self.counts, "refusal_p50_ms": median * 1e3, "own_lag": self.own_lag}))
+
+
 def main() -> None:
     """Start one role."""
     role, *args = sys.argv[1:]
@@ -167,6 +272,9 @@
             uvloop.run(_aiohttp([int(arg) for arg in args]))
         case "submit":
             uvloop.run(_submit(int(args[0]), int(args[1]), int(args[2]), float(args[3])))
+        case "flood":
+            port, lines, rate, seconds, seed = args
+            uvloop.run(Flood(int(port), int(lines), float(rate), float(seconds), int(seed)).run())
         case _:
             raise SystemExit(f"no such role: {role}")
 
--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -11,10 +11,10 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 from collections.abc import Callable
-from itertools import islice
+from itertools import accumulate, islice
 from random import Random
 
 from indigokeel.decision.interface import (
@@ -29,6 +29,7 @@
     Event,
     Fail,
     Group,
+    Lagged,
     Load,
     Log,
     Member,
@@ -86,6 +87,10 @@
 SHED_LEAST = 2.0  # ... and these
 SHED_STEP_DOWN, SHED_STEP_UP = 0.85, 0.04  # what is admitted changes by this, four times a second
 SHED_MOST = 0.9  # of a class; the rest shows when the trouble is over
+LAG_WEIGHT = 0.25  # of the newest beat in the smoothed lag: a pause of one beat is no overload
+LAG_MOST = 0.15  # of the shortest aim; with more the sidecar is behind, and turns away at the door ...
+LAG_STEP_DOWN, LAG_STEP_UP = 0.85, 0.02  # ... what is let in changes by this each beat
+LAG_TURNS = 2.0  # times its lag that a job spends waiting for the sidecar itself
 HELD_PART = 0.4  # of the time left, that a request is held for which there is no upstream
 WATCH_FIRST = 0.5  # s before discovery is asked again after a failed call, with jitter ...
 WATCH_LONGEST = 4.0  # s; ... doubled up to this, well within the time it must be asked in
@@ -141,6 +146,8 @@
         self._in_time, self._late = Decaying(LATE_TAU), Decaying(LATE_TAU)
         self._admitted = 1.0  # the part of the requests that is not refused at once
         self._shed_until, self._shedding = -math.inf, False
+        self._lag, self._let_in = 0.0, 1.0  # the part of the requests that is let in at the door
+        self._lag_most = LAG_MOST * min(cls.aim for cls in settings.classes)
         self._keys: dict[int, float] = {}
         self._keys_total = 0.0
         self._retry_tokens, self._copy_tokens = RETRY_BURST, 0.5  # copies are earned: a start is no hang
@@ -164,6 +171,7 @@
             ClientLeft: self._on_left,
             AnswerStarted: self._on_started,
             ProbeEnded: self._on_probe_ended,
+            Lagged: self._on_lagged,
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -384,7 +392,8 @@
             self._cap_cold(chosen, slices)
         if key:
             return self._by_key(chosen, slices, key)
-        return self._random.choices(chosen, slices)[0]
+        ends = list(accumulate(slices))
+        return chosen[bisect_right(ends, self._random.random() * ends[-1], 0, len(ends) - 1)]
 
     def _lean(self, chosen: list[Upstream], slices: list[float]) -> None:
         """Lean away from upstreams that hold far more of the own attempts than their part. Guards against
@@ -722,16 +731,51 @@
             self._admitted = max(self._admitted * SHED_STEP_DOWN, 1.0 - SHED_MOST)
         else:
             self._admitted = min(self._admitted + SHED_STEP_UP, 1.0)
-        excess = (1.0 - self._admitted) * self._shed_base.value(now)
-        for stats in sorted(self._stats.values(), key=self._density):
-            count = stats.arrivals.value(now)
-            stats.shed = min(excess / count, SHED_MOST) if count > 0.0 else 0.0
-            excess -= stats.shed * count
+        for stats, part in self._apportion(now, 1.0 - self._admitted):
+            stats.shed = part
         shedding = any(stats.shed > 0.0 for stats in self._stats.values())
         if shedding != self._shedding:
             self._shedding = shedding
             self._actions.append(Log("shedding load" if shedding else "shedding ends"))
 
+    def _apportion(self, now: float, excess: float) -> list[tuple[ClassStats, float]]:
+        """What part of each class is to go for ``excess`` of all requests to go, least worth first."""
+        left, parts = excess * self._shed_base.value(now), []
+        for stats in sorted(self._stats.values(), key=self._density):
+            count = stats.arrivals.value(now)
+            part = min(left / count, SHED_MOST) if count > 0.0 else 0.0
+            left -= part * count
+            parts.append((stats, part))
+        return parts
+
+    def _on_lagged(self, now: float, event: Lagged) -> None:
+        """The sidecar itself falls behind: what it takes in then only makes all of it late. What is let in
+        shrinks by a part while that lasts, and grows by a step when not."""
+        self._lag += LAG_WEIGHT * (event.seconds - self._lag)
+        behind = self._let_in < 1.0
+        if self._lag > self._lag_most:
+            self._let_in = max(self._let_in * LAG_STEP_DOWN, 1.0 - SHED_MOST)
+        elif behind:
+            self._let_in = min(self._let_in + LAG_STEP_UP, 1.0)
+        for stats, part in self._apportion(now, 1.0 - self._let_in) if behind or self._let_in < 1.0 else ():
+            stats.kept_out = part
+        if behind != (self._let_in < 1.0):
+            self._actions.append(Log("in step again" if behind else "behind with the work: fewer are let in"))
+
+    def turn_away(self, now: float, class_name: str, budget: float) -> float | None:
+        """Asked before a request costs anything: None to take it, else how long its client is to wait, for
+        it could not be answered in time or keeps the sidecar from what is worth more."""
+        stats = self._stats.get(class_name)
+        if stats is None or (self._let_in >= 1.0 and self._lag <= self._lag_most):
+            return None
+        hopeless = LAG_TURNS * self._lag + stats.latency > budget
+        if not hopeless and self._random.random() >= stats.kept_out:
+            return None
+        self._shed_base.add(now, 1.0)
+        stats.arrivals.add(now, 1.0)
+        limits = self._settings.limits
+        return min(limits.max_retry_after, REFUSAL_WAIT) if limits.retry_after else 0.0
+
     def _density(self, stats: ClassStats) -> float:
         """Worth for each unit of an upstream's time."""
         return stats.worth if self._settings.worth_by_work else stats.worth / stats.latency
--- a/indigokeel/decision/interface.py
+++ b/indigokeel/decision/interface.py
@@ -268,8 +268,22 @@
     load: Load | None = None
 
 
+@dataclass(slots=True)
+class Lagged:
+    """How late the sidecar itself runs, in seconds; told at a steady beat."""
+
+    seconds: float
+
+
 Event: TypeAlias = (
-    MembershipNews | RequestArrived | AnswerStarted | AttemptEnded | ClientLeft | TimerFired | ProbeEnded
+    MembershipNews
+    | RequestArrived
+    | AnswerStarted
+    | AttemptEnded
+    | ClientLeft
+    | TimerFired
+    | ProbeEnded
+    | Lagged
 )
 
 
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -122,12 +122,13 @@
 class ClassStats:
     """What this sidecar has seen of one class: its usual latency and hint."""
 
-    __slots__ = ("arrivals", "hint", "latency", "shed", "worth")
+    __slots__ = ("arrivals", "hint", "kept_out", "latency", "shed", "worth")
 
     def __init__(self, cls: ClassSettings) -> None:
         self.arrivals = Decaying(SHED_TAU)
         self.worth = cls.worth
         self.shed = 0.0  # the part of it that is refused at once
+        self.kept_out = 0.0  # ... and that is turned away at the door while the sidecar is behind
         self.latency = cls.aim / 4.0  # until seen: aims are commonly a few times the usual latency
         self.hint = 0.0
 
--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -183,6 +183,17 @@
 
     # --- what network code tells --------------------------------------------------------------------
 
+    def lagged(self, now: float, seconds: float) -> Orders:
+        """Tell how late the caller itself runs; at a steady beat."""
+        orders = Orders()
+        self._feed(now, api.Lagged(seconds), orders)
+        return orders
+
+    def turn_away(self, now: float, job_class: str, budget: float) -> float | None:
+        """Asked before ``pick``, for next to nothing: None to go on, or how long a submitter that is turned
+        away at once is to wait. The job is in no book then, and its answer is a refusal."""
+        return self._balancer.turn_away(now, job_class, budget)
+
     def pick(self, now: float, job: Job) -> Orders:
         """Take a job and decide on it."""
         orders = Orders()
@@ -373,11 +384,13 @@
             self._close(job)
 
     def _act(self, now: float, action: api.Action, orders: Orders, events: list[api.Event]) -> None:
+        if isinstance(action, api.Send):  # the two that every job brings, before the others
+            self._claim(now, action, orders, events)
+            return
+        if isinstance(action, api.SetTimer):
+            self._enter(now + action.delay, partial(self._fire, action.token))
+            return
         match action:
-            case api.Send():
-                self._claim(now, action, orders, events)
-            case api.SetTimer(delay, token):
-                self._enter(now + delay, partial(self._fire, token))
             case api.CloseIdle(node):
                 orders.close_idle.append(node)
             case api.Refuse(job_id, retry_in):
--- a/indigokeel/net/connections/books.py
+++ b/indigokeel/net/connections/books.py
@@ -60,23 +60,15 @@
 E = TypeVar("E", bound=Entry)
 
 
-class _Node(Generic[E]):
-    """The connections to one node, by state, each in the order of its coming."""
-
-    __slots__ = ("idle", "opening", "used")
+class _Node(dict[State, dict[E, None]], Generic[E]):
+    """The connections to one node, by state, each in the order of its coming; the idle one used last at the
+    end."""
 
     def __init__(self) -> None:
-        self.opening: dict[E, None] = {}
-        self.idle: dict[E, None] = {}  # the one used last at the end
-        self.used: dict[E, None] = {}  # in use or draining
-
-    def shelf(self, state: State) -> dict[E, None]:
-        if state is State.OPENING:
-            return self.opening
-        return self.idle if state is State.IDLE else self.used
+        super().__init__({state: {} for state in State if state is not State.CLOSED})
 
-    def __len__(self) -> int:
-        return len(self.opening) + len(self.idle) + len(self.used)
+    def total(self) -> int:
+        return sum(map(len, self.values()))
 
 
 class Books(Generic[E]):
@@ -95,9 +87,9 @@
         return iter(self._all)
 
     def count(self, node: str, state: State) -> int:
-        """How many connections to a node are in a state; in use and draining count together."""
+        """How many connections to a node are in a state."""
         shelves = self._nodes.get(node)
-        return 0 if shelves is None else len(shelves.shelf(state))
+        return 0 if shelves is None else len(shelves[state])
 
     def move(self, entry: E, state: State) -> None:
         """Enter a connection that is OPENING, or take a known one to its next state."""
@@ -105,28 +97,28 @@
             if state is not State.OPENING or entry.state is not State.OPENING:
                 raise ValueError(f"a connection that is not in the books cannot be {state.value}")
             self._all[entry] = None
-            self._nodes.setdefault(entry.node, _Node()).opening[entry] = None
+            self._nodes.setdefault(entry.node, _Node())[State.OPENING][entry] = None
             return
         if state not in _NEXT[entry.state]:
             raise ValueError(f"a connection cannot go from {entry.state.value} to {state.value}")
         shelves = self._nodes[entry.node]
-        del shelves.shelf(entry.state)[entry]
+        del shelves[entry.state][entry]
         if entry.state is State.IDLE:
             del self._idle[entry]
         entry.state = state
         if state is not State.CLOSED:
-            shelves.shelf(state)[entry] = None
+            shelves[state][entry] = None
             if state is State.IDLE:
                 self._idle[entry] = None
             return
         del self._all[entry]
-        if not len(shelves):  # names come and go for ever; only those in use are kept
+        if not any(shelves.values()):  # names come and go for ever; only those in use are kept
             del self._nodes[entry.node]
 
     def youngest_idle(self, node: str) -> E | None:
         """The idle connection to a node that was used last."""
         shelves = self._nodes.get(node)
-        return next(reversed(shelves.idle)) if shelves is not None and shelves.idle else None
+        return next(reversed(shelves[State.IDLE]), None) if shelves is not None else None
 
     def oldest_idle(self) -> E | None:
         """The connection to any node that has stood idle for longest."""
@@ -134,24 +126,25 @@
 
     def oldest_opening(self, node: str) -> E | None:
         shelves = self._nodes.get(node)
-        return next(iter(shelves.opening), None) if shelves is not None else None
+        return next(iter(shelves[State.OPENING]), None) if shelves is not None else None
 
     def idle_to(self, node: str) -> list[E]:
         shelves = self._nodes.get(node)
-        return list(shelves.idle) if shelves is not None else []
+        return list(shelves[State.IDLE]) if shelves is not None else []
 
     def used_to(self, node: str) -> list[E]:
         shelves = self._nodes.get(node)
-        return list(shelves.used) if shelves is not None else []
+        return list(shelves[State.IN_USE]) if shelves is not None else []
 
     def room(self, node: str) -> bool:
         """Whether the bounds of this node let one more be opened to it."""
         shelves = self._nodes.get(node)
         if shelves is None:
             return True
-        alone = len(shelves) == len(self._all)  # nobody else wants what is left
+        total = shelves.total()
+        alone = total == len(self._all)  # nobody else wants what is left
         most = self.bounds.total if alone else self.bounds.node
-        return len(shelves) < most and len(shelves.opening) < self.bounds.opening
+        return total < most and len(shelves[State.OPENING]) < self.bounds.opening
 
     def full(self) -> bool:
         """Whether the bound on all connections is reached."""
--- a/indigokeel/net/connections/manager.py
+++ b/indigokeel/net/connections/manager.py
@@ -129,8 +129,7 @@
         for link in self.books.idle_to(node):
             self.close(link)
         for link in self.books.used_to(node):
-            if link.state is State.IN_USE:
-                self.books.move(link, State.DRAINING)
+            self.books.move(link, State.DRAINING)
 
     def warm(self, node: str, address: Address) -> None:
         """Open a connection ahead of the first claim, where there is room and none yet."""
@@ -203,7 +202,7 @@
         nothing to read: asked here, right before the first byte."""
         if self._calls > 1:
             for link in self.books.used_to(node):
-                if link.state is State.IN_USE and link.calls < self._calls and link.address == address:
+                if link.calls < self._calls and link.address == address:
                     return link
         now = -1.0
         while (idle := self.books.youngest_idle(node)) is not None:
--- a/indigokeel/net/connections/risk.py
+++ b/indigokeel/net/connections/risk.py
@@ -23,16 +23,21 @@
 
     def __init__(self) -> None:
         self._of: list[list[float]] = [[0.0, 0.0, 0.0] for _ in range(_AGES + 1)]  # claims, broken, when
+        self._forgotten = -math.inf  # when the last break tells nothing any more
 
     def add(self, now: float, age: float, broken: bool) -> None:
         """``age``, in seconds, is negative for a connection that was made for its claim."""
         entry = self._entry(now, self._index(age))
         entry[0] += 1.0
-        entry[1] += broken
+        if broken:
+            entry[1] += 1.0
+            self._forgotten = now + 10.0 * _TAU
 
     def too_old(self, now: float, age: float, unsafe: bool = False) -> bool:
         """Whether a connection that stood idle for ``age`` seconds is a bad risk for a job, ``unsafe`` where
         the job may not be sent again after a break."""
+        if now >= self._forgotten:
+            return False  # nothing broke for long
         last = self._index(age)
         if not any(self._of[index][1] for index in range(1, last + 1)):
             return False  # nothing broke at these ages
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -12,6 +12,7 @@
 import select
 import socket
 from collections.abc import Sequence
+from functools import lru_cache
 from http import HTTPStatus
 
 MAX_HEAD = 16 * 1024  # bytes of a message's head
@@ -66,9 +67,10 @@
     return f"{address[0]}:{address[1]}".encode()
 
 
+@lru_cache(256)  # nodes refresh their report now and then, and many answers carry the same
 def load_figures(text: str | None) -> dict[str, float] | None:
     """Read a load report, ``name=value,name=value``. What is missing, -1, no number or absurd stays
-    missing."""
+    missing. The same text gives the same dictionary: nobody changes it."""
     if not text:
         return None
     figures: dict[str, float] = {}
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -26,6 +26,7 @@
 _SUBMITTERS = 0.55  # of the others: for submitters, whose crowds come and go; the rest for execute nodes
 _ACCEPT_ON = 0.5  # s after SIGTERM in which connections are still taken
 _HALF_READ = 0.2  # s after that in which a message that has begun may still become whole
+_BEAT = 0.05  # s between measurements of how late the loop runs
 _LOOK = 0.2  # s between looks at connections
 _RETIRE = 5  # looks between those at idle connections to execute nodes
 _AUDIT = 25  # looks between audits of the descriptors
@@ -69,6 +70,7 @@
         self._workers: dict[Session, None] = {}  # the others, by their last job
         self._clock: asyncio.TimerHandle | None = None
         self._due_at = math.inf
+        self._lag = 0.0
         self._tasks: asyncio.TaskGroup
         self._spawned: set[asyncio.Task[None]] = set()
         self._audit: Audit
@@ -90,6 +92,9 @@
         self._workers[session] = None  # to the young end
         self._carry_out(self._facade.pick(arrived, job))
 
+    def turn_away(self, arrived: float, job: Job) -> float | None:
+        return self._facade.turn_away(arrived, job.job_class, job.budget)
+
     def left(self, job_id: str) -> None:
         self._waiting.pop(job_id, None)
         self._carry_out(self._facade.left(time.monotonic(), job_id))
@@ -213,6 +218,16 @@
             self._fault("tick", error)
         self._wind()
 
+    def _beat(self, due: float) -> None:
+        """Measure how late the loop runs, which is what every job waits for it, and tell."""
+        now = time.monotonic()
+        self._lag = max(now - due, 0.0)
+        try:
+            self._carry_out(self._facade.lagged(now, self._lag))
+        except Exception as error:  # the beat must go on
+            self._fault("beat", error)
+        asyncio.get_running_loop().call_later(_BEAT, self._beat, now + _BEAT)
+
     async def _housekeeping(self) -> None:
         """Look at the connections now and then."""
         looks = 0
@@ -254,6 +269,7 @@
                 lambda level, text: self._counters.log(text, level),
             )
             self._spawn("housekeeping", self._housekeeping)
+            loop.call_later(_BEAT, self._beat, time.monotonic() + _BEAT)
             while (number := await signals.get()) not in (signal.SIGTERM, signal.SIGINT):
                 if number == signal.SIGUSR1:
                     self._dump()
@@ -310,6 +326,7 @@
             submitter_connections_open=len(self._sessions),
             node_connections_open=self._pool.open,
             claims_waiting=self._pool.connections.waiting(),
+            loop_lag_ms=round(self._lag * 1000.0, 1),
         )
 
 
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -63,6 +63,9 @@
 
     def left(self, job_id: str) -> None: ...
 
+    def turn_away(self, arrived: float, job: Job) -> float | None:
+        """Whether the sidecar is too far behind to take a job: the wait to advise, or None."""
+
     def crowded(self) -> bool:
         """Whether submitters' connections have become so many that each ends with its answer."""
 
@@ -313,6 +316,9 @@
             self._trouble = MalformedError(409, "a job of this id is open")
             self._queue.clear()
             self.busy = False
+        elif (wait := self._desk.turn_away(arrived, job[0])) is not None:
+            self._counters.add("jobs_turned_away")
+            self.answer(Final(Verdict.REFUSED, wait))
         else:
             self._counters.add("jobs_taken")
             self.job_id = job[0].id
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -520,3 +520,47 @@
             for side, busy in ((wheel.survivors, False), (wheel.struck, True)):
                 assert all((u.utilisation > BUSY) is busy for u in side.members)
     assert len(wheel) == 60
+
+
+def beat(driver: Driver, lag: float, beats: int) -> None:
+    for _ in range(beats):
+        driver.now += 0.05
+        driver.balancer.handle(driver.now, api.Lagged(lag))
+
+
+def let_in(driver: Driver, class_name: str, budget: float = 1.5) -> float:
+    """The part of a class that is not turned away at the door, of 500; those let in are served."""
+    taken = 0
+    for _ in range(500):
+        if driver.balancer.turn_away(driver.now, class_name, budget) is None:
+            taken += 1
+            _, actions = driver.request(class_name)
+            for send in sends(actions):
+                driver.end(send)
+    return taken / 500
+
+
+def test_sidecar_that_is_behind_turns_away_what_is_worth_least(driver: Driver) -> None:
+    for name in ("view", "order", "pay"):
+        assert let_in(driver, name) == 1.0
+    beat(driver, 0.5, 5)
+    parts = {name: let_in(driver, name) for name in ("view", "order", "pay")}
+    assert parts["view"] < 0.3 and parts["order"] > parts["view"] and parts["pay"] == 1.0
+    beat(driver, 0.0, 70)  # in step again
+    assert all(let_in(driver, name) == 1.0 for name in ("view", "order", "pay"))
+
+
+def test_one_late_beat_turns_nobody_away(driver: Driver) -> None:
+    """A pause of the collector or of the machine is no overload."""
+    beat(driver, 0.25, 1)
+    beat(driver, 0.0, 1)
+    assert let_in(driver, "view") == 1.0
+
+
+def test_what_a_late_sidecar_cannot_answer_in_time_is_refused_with_the_wait(driver: Driver) -> None:
+    limits = api.Limits(retry_after=True, max_retry_after=0.1)
+    driver = Driver(make_settings(limits=limits), make_members(3))
+    beat(driver, 0.4, 5)
+    assert driver.balancer.turn_away(driver.now, "pay", 0.4) == 0.1
+    assert driver.balancer.turn_away(driver.now, "pay", 1.4) is None
+    assert driver.balancer.turn_away(driver.now, "nobody's", 0.1) is None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -358,3 +358,22 @@
     )
     assert done.returncode == 2 and done.stdout == ""
     assert done.stderr.startswith("indigokeel: bad configuration: ") and done.stderr.count("\n") == 1
+
+
+def test_job_that_a_stalled_sidecar_cannot_answer_in_time_is_refused_at_once(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, _, _d):
+
+        def refused() -> bool:
+            program.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.0)  # the stall
+            program.process.send_signal(signal.SIGCONT)
+            with program.connect() as conn, conn.makefile("rb") as file:
+                for _ in range(20):
+                    conn.sendall(job(wait_ms=200))
+                    code, message = read_answer(file)
+                    if code == 503 and program.counters().get("jobs_turned_away", 0):
+                        return message.headers["retry-after"] == "0.250"
+            return False
+
+        until(refused)
+        until(lambda: program.ask(job())[0] == 200)
