Refuse plain messages unparsed while behind; late beats in a row count for all they missed

Cause: with 3,000 submitter connections open-loop at 150% to 300% of a core, the first form of the door spent its time on reading what it then refused (about 0.4 of a served job each), and one beat per loop turn of a second was too slow to close it.

Change: while behind, one whole plain message is refused from its raw bytes, without the parser; a beat that is late twice in a row counts for all it missed; what is let in grows by less the less room is left.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -178,8 +178,9 @@
         at = self._rest.find(b"Content-Length: ")
         if len(self._rest) < end + 4 + int(self._rest[at + 16 : self._rest.index(b"\r", at)]):
             return
-        status, self._rest = int(self._rest[9:12]), b""
-        self._flood.done(self, self._class, self._due, status)
+        status, last = int(self._rest[9:12]), b"Connection: close" in self._rest
+        self._rest = b""
+        self._flood.done(self, self._class, self._due, status, last)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._flood.lost(self)
@@ -200,7 +201,7 @@
         row = self.counts.setdefault(job_class, {})
         row[what] = row.get(what, 0) + 1
 
-    def done(self, line: _Line, job_class: str, due: float, status: int) -> None:
+    def done(self, line: _Line, job_class: str, due: float, status: int, last: bool) -> None:
         self.open.pop(line, None)
         took = time.perf_counter() - due
         if status == 200:
@@ -208,7 +209,8 @@
         else:
             self._count(job_class, "refused" if status in (429, 503) else "failed")
             self.turned.append(took)
-        self.free.append(line)
+        if not last:
+            self.free.append(line)
 
     def lost(self, line: _Line) -> None:
         job_class = self.open.pop(line, None)
--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -18,6 +18,7 @@
 from random import Random
 
 from indigokeel.decision.interface import (
+    BEAT,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -89,7 +90,8 @@
 SHED_MOST = 0.9  # of a class; the rest shows when the trouble is over
 LAG_WEIGHT = 0.25  # of the newest beat in the smoothed lag: a pause of one beat is no overload
 LAG_MOST = 0.15  # of the shortest aim; with more the sidecar is behind, and turns away at the door ...
-LAG_STEP_DOWN, LAG_STEP_UP = 0.85, 0.02  # ... what is let in changes by this each beat
+LAG_STEP_DOWN, LAG_STEP_UP = 0.85, 0.015  # ... what is let in changes by this each beat
+LAG_BEATS = 8.0  # that one late beat counts for at most
 LAG_TURNS = 2.0  # times its lag that a job spends waiting for the sidecar itself
 HELD_PART = 0.4  # of the time left, that a request is held for which there is no upstream
 WATCH_FIRST = 0.5  # s before discovery is asked again after a failed call, with jitter ...
@@ -146,7 +148,8 @@
         self._in_time, self._late = Decaying(LATE_TAU), Decaying(LATE_TAU)
         self._admitted = 1.0  # the part of the requests that is not refused at once
         self._shed_until, self._shedding = -math.inf, False
-        self._lag, self._let_in = 0.0, 1.0  # the part of the requests that is let in at the door
+        self._lag, self._late_beat = 0.0, False
+        self._let_in = 1.0  # the part of the requests that is let in at the door
         self._lag_most = LAG_MOST * min(cls.aim for cls in settings.classes)
         self._keys: dict[int, float] = {}
         self._keys_total = 0.0
@@ -751,22 +754,30 @@
     def _on_lagged(self, now: float, event: Lagged) -> None:
         """The sidecar itself falls behind: what it takes in then only makes all of it late. What is let in
         shrinks by a part while that lasts, and grows by a step when not."""
-        self._lag += LAG_WEIGHT * (event.seconds - self._lag)
+        # A beat that is late the second time in a row counts for all that it has missed.
+        late, self._late_beat = self._late_beat, event.seconds > self._lag_most
+        beats = min(max(event.seconds / BEAT, 1.0), LAG_BEATS) if late and self._late_beat else 1.0
+        self._lag += (1.0 - (1.0 - LAG_WEIGHT) ** beats) * (event.seconds - self._lag)
         behind = self._let_in < 1.0
-        if self._lag > self._lag_most:
-            self._let_in = max(self._let_in * LAG_STEP_DOWN, 1.0 - SHED_MOST)
-        elif behind:
-            self._let_in = min(self._let_in + LAG_STEP_UP, 1.0)
+        if self._lag > self._lag_most and self._late_beat:
+            self._let_in = max(self._let_in * LAG_STEP_DOWN**beats, 1.0 - SHED_MOST)
+        elif behind and self._lag <= self._lag_most:
+            room = 1.0 - self._lag / self._lag_most  # less of a step, the less is left
+            self._let_in = min(self._let_in + LAG_STEP_UP * room, 1.0)
         for stats, part in self._apportion(now, 1.0 - self._let_in) if behind or self._let_in < 1.0 else ():
             stats.kept_out = part
         if behind != (self._let_in < 1.0):
             self._actions.append(Log("in step again" if behind else "behind with the work: fewer are let in"))
 
+    def behind(self) -> bool:
+        """Whether turn_away may turn anything away now."""
+        return self._let_in < 1.0 or self._lag > self._lag_most
+
     def turn_away(self, now: float, class_name: str, budget: float) -> float | None:
         """Asked before a request costs anything: None to take it, else how long its client is to wait, for
         it could not be answered in time or keeps the sidecar from what is worth more."""
         stats = self._stats.get(class_name)
-        if stats is None or (self._let_in >= 1.0 and self._lag <= self._lag_most):
+        if stats is None or not self.behind():
             return None
         hopeless = LAG_TURNS * self._lag + stats.latency > budget
         if not hopeless and self._random.random() >= stats.kept_out:
--- a/indigokeel/decision/interface.py
+++ b/indigokeel/decision/interface.py
@@ -268,9 +268,12 @@
     load: Load | None = None
 
 
+BEAT = 0.05  # s between two of the next
+
+
 @dataclass(slots=True)
 class Lagged:
-    """How late the sidecar itself runs, in seconds; told at a steady beat."""
+    """How late the sidecar itself runs, in seconds; told at a steady beat, as far as it can keep it."""
 
     seconds: float
 
--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -189,6 +189,10 @@
         self._feed(now, api.Lagged(seconds), orders)
         return orders
 
+    def behind(self) -> bool:
+        """Whether the caller runs so late that turn_away may turn jobs away."""
+        return self._balancer.behind()
+
     def turn_away(self, now: float, job_class: str, budget: float) -> float | None:
         """Asked before ``pick``, for next to nothing: None to go on, or how long a submitter that is turned
         away at once is to wait. The job is in no book then, and its answer is a refusal."""
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from indigokeel.config import Config, ConfigError, reload_discovery
+from indigokeel.decision.interface import BEAT
 from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
 from indigokeel.machine_list import MachineList
 from indigokeel.net import http
@@ -26,7 +27,6 @@
 _SUBMITTERS = 0.55  # of the others: for submitters, whose crowds come and go; the rest for execute nodes
 _ACCEPT_ON = 0.5  # s after SIGTERM in which connections are still taken
 _HALF_READ = 0.2  # s after that in which a message that has begun may still become whole
-_BEAT = 0.05  # s between measurements of how late the loop runs
 _LOOK = 0.2  # s between looks at connections
 _RETIRE = 5  # looks between those at idle connections to execute nodes
 _AUDIT = 25  # looks between audits of the descriptors
@@ -75,6 +75,7 @@
         self._spawned: set[asyncio.Task[None]] = set()
         self._audit: Audit
         self.closing = False
+        self.behind = False
 
     # --- the desk at which submitters stand -----------------------------------------------------------
 
@@ -92,8 +93,8 @@
         self._workers[session] = None  # to the young end
         self._carry_out(self._facade.pick(arrived, job))
 
-    def turn_away(self, arrived: float, job: Job) -> float | None:
-        return self._facade.turn_away(arrived, job.job_class, job.budget)
+    def turn_away(self, arrived: float, job_class: str, budget: float) -> float | None:
+        return self._facade.turn_away(arrived, job_class, budget)
 
     def left(self, job_id: str) -> None:
         self._waiting.pop(job_id, None)
@@ -224,9 +225,10 @@
         self._lag = max(now - due, 0.0)
         try:
             self._carry_out(self._facade.lagged(now, self._lag))
+            self.behind = self._facade.behind()
         except Exception as error:  # the beat must go on
             self._fault("beat", error)
-        asyncio.get_running_loop().call_later(_BEAT, self._beat, now + _BEAT)
+        asyncio.get_running_loop().call_later(BEAT, self._beat, now + BEAT)
 
     async def _housekeeping(self) -> None:
         """Look at the connections now and then."""
@@ -269,7 +271,7 @@
                 lambda level, text: self._counters.log(text, level),
             )
             self._spawn("housekeeping", self._housekeeping)
-            loop.call_later(_BEAT, self._beat, time.monotonic() + _BEAT)
+            loop.call_later(BEAT, self._beat, time.monotonic() + BEAT)
             while (number := await signals.get()) not in (signal.SIGTERM, signal.SIGINT):
                 if number == signal.SIGUSR1:
                     self._dump()
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -27,6 +28,13 @@
 _MOST_AHEAD = 8  # messages read behind the one that is being answered
 _LONGEST = 3600.0  # s that a submitter may be willing to wait
 
+# A plain message, for a sidecar that is behind: its head from end to end, and what is read off it unparsed.
+_PLAIN = re.compile(rb"(?:GET|POST) [^ \r\n]+ HTTP/1\.1\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)+\r\n")
+_FRAMED = re.compile(rb"\r\n(?:transfer-encoding|connection|expect|upgrade):", re.IGNORECASE)
+_CLASS = re.compile(rb"\r\nrequest-class: *([^\r\n]+)\r", re.IGNORECASE)
+_WAIT = re.compile(rb"\r\nrequest-timeout-ms: *(\d{1,9})\r", re.IGNORECASE)
+_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,5})\r", re.IGNORECASE)
+
 _STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 Headers = Mapping[bytes, bytes]  # names in lower case
@@ -63,7 +71,9 @@
 
     def left(self, job_id: str) -> None: ...
 
-    def turn_away(self, arrived: float, job: Job) -> float | None:
+    behind: bool  # the sidecar itself: some jobs are turned away
+
+    def turn_away(self, arrived: float, job_class: str, budget: float) -> float | None:
         """Whether the sidecar is too far behind to take a job: the wait to advise, or None."""
 
     def crowded(self) -> bool:
@@ -125,7 +135,7 @@
     """One submitter's connection. httptools calls the ``on_`` methods."""
 
     __slots__ = (
-        "_counters", "_desk", "_head_size", "_headers", "_in_head", "_job", "_keep", "_parser",
+        "_counters", "_desk", "_head_size", "_headers", "_in_head", "_job", "_keep", "_parser", "_passed",
         "_queue", "_reading", "_settings", "_since", "_size", "_target", "_transport", "_trouble", "_working",
         "busy", "ended", "fd", "heard", "job_id",
     )  # fmt: skip
@@ -141,6 +151,7 @@
         self._reading = False  # within a message
         self._in_head = False  # ... and its head
         self._working = False
+        self._passed = False  # the door, before it was parsed
         self._keep = True  # after the answer that is owed now
         self._since = 0.0  # when the message, the silence between two, or the answer's writing began
         self._target = b""
@@ -167,6 +178,8 @@
         if not self._reading and self.heard:
             self._since = time.monotonic()
         self.heard = True
+        if self._desk.behind and not (self._reading or self.busy or self._queue) and self._turned_away(data):
+            return
         whole = len(self._queue)
         try:
             parser.feed_data(data)
@@ -183,6 +196,30 @@
             self._fault(error)
         self._work()
 
+    def _turned_away(self, data: bytes) -> bool:
+        """Turn a job away unparsed, if it is one whole and plain message and the module says so. Guards
+        against the sidecar whose time goes into reading, line by line, what it then refuses."""
+        plain = _PLAIN.match(data)
+        if plain is None or _FRAMED.search(data, 0, plain.end()):
+            return False
+        head = plain.end()
+        name, wait, length = _CLASS.search(data, 0, head), _WAIT.search(data, 0, head), 0
+        lengths = _LENGTH.findall(data, 0, head)
+        if lengths:
+            length = int(lengths[0])
+        if name is None or wait is None or len(lengths) > 1 or len(data) != head + length:
+            return False
+        budget = int(wait[1]) / 1000.0
+        advice = self._desk.turn_away(time.monotonic(), name[1].decode("latin-1"), budget)
+        if advice is None:
+            # It has passed the door, and is not asked again as it is parsed.
+            self._passed = True
+            return False
+        self._counters.add("jobs_turned_away")
+        self._keep, self.busy = True, True
+        self.answer(Final(Verdict.REFUSED, advice))
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.fd = -1
         if self.busy and not self.ended:
@@ -309,6 +346,7 @@
             self._turn_down(self._trouble)
 
     def _begin(self, arrived: float, job: tuple[Job, Task] | None) -> None:
+        passed, self._passed = self._passed, False
         if job is None:
             self._counters.add("health_checks")
             self._write(http.response(200 if self._desk.healthy() else 503, []))
@@ -316,7 +354,9 @@
             self._trouble = MalformedError(409, "a job of this id is open")
             self._queue.clear()
             self.busy = False
-        elif (wait := self._desk.turn_away(arrived, job[0])) is not None:
+        elif (
+            wait := None if passed else self._desk.turn_away(arrived, job[0].job_class, job[0].budget)
+        ) is not None:
             self._counters.add("jobs_turned_away")
             self.answer(Final(Verdict.REFUSED, wait))
         else:
