--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -88,13 +88,20 @@
     def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
         """Take a job; its answer goes to the session, perhaps at once."""
         self._waiting[job.id] = session, task
-        self._newcomers.pop(session, None)
-        self._workers.pop(session, None)
-        self._workers[session] = None  # to the young end
+        self._brought(session)
         self._carry_out(self._facade.pick(arrived, job))
 
-    def turn_away(self, arrived: float, job_class: str, budget: float) -> float | None:
-        return self._facade.turn_away(arrived, job_class, budget)
+    def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
+        wait = self._facade.turn_away(arrived, job_class, budget)
+        if wait is not None:
+            self._brought(session)
+        return wait
+
+    def _brought(self, session: Session) -> None:
+        """It has brought a job: it goes to the young end of the workers."""
+        self._newcomers.pop(session, None)
+        self._workers.pop(session, None)
+        self._workers[session] = None
 
     def left(self, job_id: str) -> None:
         self._waiting.pop(job_id, None)
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -33,7 +33,7 @@
 _FRAMED = re.compile(rb"\r\n(?:transfer-encoding|connection|expect|upgrade):", re.IGNORECASE)
 _CLASS = re.compile(rb"\r\nrequest-class: *([^\r\n]+)\r", re.IGNORECASE)
 _WAIT = re.compile(rb"\r\nrequest-timeout-ms: *(\d{1,9})\r", re.IGNORECASE)
-_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,5})\r", re.IGNORECASE)
+_LENGTH = re.compile(rb"\r\ncontent-length:([^\r]*)(?=\r)", re.IGNORECASE)
 
 _STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
@@ -73,7 +73,7 @@
 
     behind: bool  # the sidecar itself: some jobs are turned away
 
-    def turn_away(self, arrived: float, job_class: str, budget: float) -> float | None:
+    def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
         """Whether the sidecar is too far behind to take a job: the wait to advise, or None."""
 
     def crowded(self) -> bool:
@@ -206,11 +206,13 @@
         name, wait, length = _CLASS.search(data, 0, head), _WAIT.search(data, 0, head), 0
         lengths = _LENGTH.findall(data, 0, head)
         if lengths:
+            if not lengths[0].strip().isdigit() or len(lengths[0]) > 8:
+                return False
             length = int(lengths[0])
         if name is None or wait is None or len(lengths) > 1 or len(data) != head + length:
             return False
         budget = int(wait[1]) / 1000.0
-        advice = self._desk.turn_away(time.monotonic(), name[1].decode("latin-1"), budget)
+        advice = self._desk.turn_away(self, time.monotonic(), name[1].decode("latin-1"), budget)
         if advice is None:
             # It has passed the door, and is not asked again as it is parsed.
             self._passed = True
@@ -355,7 +357,7 @@
             self._queue.clear()
             self.busy = False
         elif (
-            wait := None if passed else self._desk.turn_away(arrived, job[0].job_class, job[0].budget)
+            wait := None if passed else self._desk.turn_away(self, arrived, job[0].job_class, job[0].budget)
         ) is not None:
             self._counters.add("jobs_turned_away")
             self.answer(Final(Verdict.REFUSED, wait))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,19 +5,21 @@
 import asyncio
 import json
 import os
+import socket
 import time
 
 import pytest
 import uvloop
 
 from indigokeel.config import decode_settings
-from indigokeel.facade import Facade, Job, Outcome
+from indigokeel.facade import Facade, Job, Outcome, Verdict
 from indigokeel.machine_list import MachineList, machine_list
 from indigokeel.net.connections import IdleRisk
 from indigokeel.net.counters import Counters
 from indigokeel.net.discovery import Discovery
 from indigokeel.net.exchange import Task
 from indigokeel.net.pool import Pool
+from indigokeel.net.submitters import Final, Session
 from tests import peers
 
 
@@ -116,3 +118,82 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(play()) == 0
+
+
+class LateDesk:
+    """A sidecar that is behind and turns every job away."""
+
+    closing, behind = False, True
+    asked = 0
+
+    def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
+        self.asked += 1
+        return 0.25 if job_class == "view" or budget > 1.0 else None
+
+    def healthy(self) -> bool:
+        return True
+
+    def knows(self, job_id: str) -> bool:
+        return False
+
+    def crowded(self) -> bool:
+        return False
+
+    def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
+        session.answer(Final(Verdict.SERVED, 0.0, [b"done"]))
+
+    def left(self, job_id: str) -> None: ...
+
+    def joined(self, session: Session) -> None: ...
+
+    def gone(self, session: Session) -> None: ...
+
+
+_HEAD = b"Request-Id: 1\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: %d\r\n"
+_VIEW = b"GET /view/k HTTP/1.1\r\n" + _HEAD % (b"view", 900)
+_PAY = b"POST /pay/k HTTP/1.1\r\n" + _HEAD % (b"pay", 2000) + b"Content-Length: 3\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "codes"),
+    [
+        (_VIEW + b"\r\n", [503]),
+        (_PAY + b"\r\nabc", [503]),
+        (_PAY + b"\r\nab", []),  # the rest is still to come
+        (_VIEW + b"\r\n" + _VIEW + b"\r\n", [503, 503]),
+        (_VIEW, []),
+        (b"POST /pay/k HTTP/1.1\r\n" + _HEAD % (b"pay", 500) + b"Content-Length: 0\r\n\r\n", [200]),
+        (b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n", [200]),
+        (_PAY + b"Transfer-Encoding: chunked\r\n\r\nabc", [400]),
+        (_PAY + b"content-length: 3\r\n\r\nabc", [400]),
+        (_PAY.replace(b": 3", b": -3") + b"\r\nabc", [400]),
+        (_VIEW.replace(b"900", b"soon") + b"\r\n", [400]),
+        (_VIEW.replace(b"view", b"noise", 1) + b"Connection: close\r\n\r\n", [404]),
+        (b"\x16\x03\x01" + _VIEW + b"\r\n", [400]),
+    ],
+)
+def test_sidecar_that_is_behind_refuses_plain_messages_and_reads_all_others(
+    sent: bytes, codes: list[int]
+) -> None:
+    async def play() -> bytes:
+        desk = LateDesk()
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        await asyncio.get_running_loop().create_connection(
+            lambda: Session(desk, decode_settings(peers.SETTINGS), Counters("t")), sock=near
+        )
+        far.sendall(sent)
+        for _ in range(5):
+            await asyncio.sleep(0.002)
+        far.setblocking(False)
+        try:
+            return far.recv(65536)
+        except BlockingIOError:
+            return b""
+        finally:
+            far.close()
+            await asyncio.sleep(0)
+
+    got = asyncio.run(play())
+    assert [int(part[:3]) for part in got.split(b"HTTP/1.1 ")[1:]] == codes
+    assert got.count(b"Retry-After: 0.250") == codes.count(503)
