Stall the program long enough in its test for one late beat to tell

Cause: with the door at half of the aim a stall of 1 s is too short for one late beat to tell, so that the test had to try again.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -365,7 +365,7 @@
 
         def refused() -> bool:
             program.process.send_signal(signal.SIGSTOP)
-            time.sleep(1.0)  # the stall
+            time.sleep(2.0)  # the stall: long enough for one late beat to tell
             program.process.send_signal(signal.SIGCONT)
             with program.connect() as conn, conn.makefile("rb") as file:
                 for _ in range(20):
