Move the sums and the index out of decision/, for they decide nothing

Change: sums.py and wheel.py stand in indigokeel/structures/; the index knows the module by a type's name alone.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -49,8 +49,8 @@
     TimerFired,
 )
 from indigokeel.decision.records import QUARANTINE_FIRST, SHED_TAU, Attempt, ClassStats, Request, Upstream
-from indigokeel.decision.sums import MASK, Decaying, Estimate, hash64, mix
-from indigokeel.decision.wheel import Wheel
+from indigokeel.structures.sums import MASK, Decaying, Estimate, hash64, mix
+from indigokeel.structures.wheel import Wheel
 
 # --- the settings of the mechanism, each with its reason --------------------------------------
 
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from indigokeel.decision.interface import ClassSettings, Member, RequestArrived
-from indigokeel.decision.sums import Decaying, Estimate, Window, hash64
+from indigokeel.structures.sums import Decaying, Estimate, Window, hash64
 
 if TYPE_CHECKING:
-    from indigokeel.decision.wheel import Wheel
+    from indigokeel.structures.wheel import Wheel
 
 WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
 QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
--- a/indigokeel/decision/wheel.py
+++ b/indigokeel/structures/wheel.py
@@ -10,8 +10,10 @@
 import heapq
 from collections.abc import Callable, Iterable
 from itertools import count
+from typing import TYPE_CHECKING
 
-from indigokeel.decision.records import Upstream
+if TYPE_CHECKING:  # the name alone: nothing here runs the module
+    from indigokeel.decision.records import Upstream
 
 _UNIT = float(1 << 32)
 
