Name what the connection manager did three times, and drop state that nobody read

Need: a reread of the change.

Change: Connections._first and _shed; the host belongs to the HTTP conversation, made by http.host once for each connection; Link.served and Entry.idle_since are gone.

--- a/indigokeel/net/connections/books.py
+++ b/indigokeel/net/connections/books.py
@@ -54,7 +54,6 @@
 
     node: str
     state: State
-    idle_since: float
 
 
 E = TypeVar("E", bound=Entry)
--- a/indigokeel/net/connections/link.py
+++ b/indigokeel/net/connections/link.py
@@ -50,7 +50,7 @@
 
     __slots__ = (
         "_loop", "_owner", "_poll", "_reading", "_sock", "_timer", "_unsent", "_writing", "address", "calls",
-        "conversation", "fd", "host", "idle_since", "inode", "node", "served", "state",
+        "conversation", "fd", "idle_since", "inode", "node", "state",
     )  # fmt: skip
 
     def __init__(
@@ -58,12 +58,10 @@
     ) -> None:
         self._loop, self._owner = loop, owner
         self.node, self.address = node, address
-        self.host = f"{address[0]}:{address[1]}".encode()  # as a head names it
         self.state = State.OPENING
         self.fd = -1
         self.inode = 0  # of the socket, for the audit
         self.calls = 0  # that are out on it now
-        self.served = 0  # calls that came to their exact end on it
         self.idle_since = 0.0
         self.conversation: Conversation | None = None
         self._sock: socket.socket | None = None
--- a/indigokeel/net/connections/manager.py
+++ b/indigokeel/net/connections/manager.py
@@ -101,7 +101,6 @@
         if not clean:
             self.close(link)
             return
-        link.served += 1
         if link.calls > 0 and link.state is State.IN_USE:
             self._serve(link)
         elif link.calls <= 0:
@@ -113,8 +112,7 @@
     def close(self, link: Link) -> None:
         """Close a connection, whatever it does."""
         if link.state is not State.CLOSED:
-            self._strike(link)
-            link.close()
+            self._shed(link)
             self._pump_all()
 
     def strike(self, link: Link) -> None:
@@ -180,7 +178,7 @@
         if opening:
             self._count("connects_failed")
             self._connect_failed(link)
-            ticket = next((t for t in self._waiting.get(link.node, ()) if t.address == link.address), None)
+            ticket = self._first(link)
             if ticket is not None and self._leave(ticket):
                 self._tell(ticket, None)
             self._fail_if_hopeless(link.node)
@@ -197,6 +195,15 @@
         self._began.pop(link, None)
         self.books.move(link, State.CLOSED)
 
+    def _shed(self, link: Link) -> None:
+        """Close one to make room, and offer that room to nobody else."""
+        self._strike(link)
+        link.close()
+
+    def _first(self, link: Link) -> Ticket | None:
+        """Who waits first for a connection such as this."""
+        return next((t for t in self._waiting.get(link.node, ()) if t.address == link.address), None)
+
     def _free(self, node: str, address: Address, unsafe: bool) -> Link | None:
         """The idle connection used last, if it is young, leads to the address of now, and is alive with
         nothing to read: asked here, right before the first byte."""
@@ -227,8 +234,7 @@
             oldest = self.books.oldest_idle()
             if oldest is None:
                 return False
-            self._strike(oldest)
-            oldest.close()
+            self._shed(oldest)
             self._count("idle_shed")
         for last in (False, True):
             link = Link(asyncio.get_running_loop(), self, node, address)
@@ -240,8 +246,7 @@
                     self._count("descriptors_run_out")
                     self._log("error", f"no descriptor for a connection: {error}")
                     if not last and oldest is not None:
-                        self._strike(oldest)
-                        oldest.close()
+                        self._shed(oldest)
                         continue
                 else:
                     self._count("connects_failed")
@@ -267,7 +272,7 @@
     def _offer(self, link: Link) -> None:
         """A connection is free: for who waits first, else idle."""
         if link.state is State.OPENING or link.calls <= 0:
-            ticket = next((t for t in self._waiting.get(link.node, ()) if t.address == link.address), None)
+            ticket = self._first(link)
             if ticket is None:
                 link.idle_since = self._clock()
                 self.books.move(link, State.IDLE)
@@ -284,7 +289,7 @@
     def _serve(self, link: Link) -> None:
         """Let others who wait use a connection that carries more than one call."""
         while 0 < link.calls < self._calls and link.state is State.IN_USE:
-            ticket = next((t for t in self._waiting.get(link.node, ()) if t.address == link.address), None)
+            ticket = self._first(link)
             if ticket is None:
                 return
             self._leave(ticket)
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -24,10 +24,11 @@
 class Talk:
     """What is said on one connection: one exchange at a time."""
 
-    __slots__ = ("_done", "_exchange", "_link")
+    __slots__ = ("_done", "_exchange", "_link", "host")
 
     def __init__(self, link: Link) -> None:
         self._link = link
+        self.host = http.host(link.address)  # as a head names it
         self._exchange: Exchange | None = None
         self._done: Callable[[Reply, bool], None] | None = None
 
@@ -127,10 +128,12 @@
             self.connections.give_back(link, not moved)
             self._end_soon(claim, Reply(Outcome.MOOT), done)
             return
+        talk = link.conversation
+        assert isinstance(talk, Talk)
         head = b"%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n" % (
             task.method,
             task.target,
-            link.host,
+            talk.host,
             task.id,
             max(int((claim.until - now) * 1000.0), 1),
         )
@@ -146,8 +149,6 @@
             self.connections.give_back(link, clean and self._facade.address(claim.node) == link.address)
             self._ended(claim, reply, done)
 
-        talk = link.conversation
-        assert isinstance(talk, Talk)
         talk.ask([head + b"\r\n", *task.body] if task.has_body else [head + b"\r\n"], finished)
 
     def _end_soon(self, claim: Claim, reply: Reply, done: Done) -> None:
@@ -209,7 +210,7 @@
                 talk = link.conversation
                 assert isinstance(talk, Talk)
                 talk.ask(
-                    [b"GET /_load HTTP/1.1\r\nHost: %s\r\n\r\n" % http.host(address)],
+                    [b"GET /_load HTTP/1.1\r\nHost: %s\r\n\r\n" % talk.host],
                     lambda reply, _: None if answer.done() else answer.set_result(reply),
                 )
                 reply = await answer
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -488,7 +488,7 @@
 
 def test_books_refuse_a_state_that_cannot_follow() -> None:
     class Entry:
-        node, state, idle_since = "n", State.OPENING, 0.0
+        node, state = "n", State.OPENING
 
     books: Books[Entry] = Books(Bounds.of(10))
     entry = Entry()
