Audit each connection's own descriptor: a listing that omits sockets cost all of them

Ruled out: descriptors closed behind the books, and reuse by others (the peer would differ).

At fault: Audit.look took what `sockets()` (the listing) did not name for gone, and Connections.strike then abandons the descriptor, which nobody closes: every audit lost all idle connections and their descriptors, the nodes kept their ends open, and every job after it paid for a new handshake.

Now each link's descriptor is asked itself. The listing only serves to look for strays, where one that omits can only miss. The test gives the audit a listing of nothing: fails before, passes now.

--- a/indigokeel/net/connections/audit.py
+++ b/indigokeel/net/connections/audit.py
@@ -26,18 +26,27 @@
     text: str
 
 
+def _inode(fd: int) -> int | None:
+    """The inode of the socket that a descriptor is; None where it is none, or is not held."""
+    with contextlib.suppress(OSError, OverflowError):
+        status = os.fstat(fd)
+        if stat.S_ISSOCK(status.st_mode):
+            return status.st_ino
+    return None
+
+
 def sockets() -> dict[int, int]:
-    """The sockets that the process holds: inode by descriptor."""
+    """The sockets that the process is seen to hold: inode by descriptor. Where a system does not list them
+    all, some are missing."""
     found: dict[int, int] = {}
     try:
         numbers = [int(name) for name in os.listdir(_FD)]
     except OSError:  # no descriptor left to list them with, which is when it matters most
         numbers = list(range(min(resource.getrlimit(resource.RLIMIT_NOFILE)[0], _MOST)))
     for fd in numbers:
-        with contextlib.suppress(OSError):  # not held, as the listing's own is not by now
-            status = os.fstat(fd)
-            if stat.S_ISSOCK(status.st_mode):
-                found[fd] = status.st_ino
+        inode = _inode(fd)
+        if inode is not None:  # else not held, as the listing's own is not by now
+            found[fd] = inode
     return found
 
 
@@ -70,7 +79,9 @@
         found: list[Finding] = []
         known = set(self._others())
         for link in list(self._links()):
-            if held.get(link.fd) == link.inode and link.fd >= 0:
+            # Asked of the descriptor itself. Guards against a listing that leaves sockets out: every good
+            # connection was a phantom to it, and the repair lost its descriptor for good.
+            if link.fd >= 0 and _inode(link.fd) == link.inode:
                 known.add(link.fd)
                 continue
             found.append(Finding("phantom", link.fd, f"{link.state.value} to {link.node}"))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,6 +12,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from random import Random
 
 import hypothesis.strategies as st
@@ -477,6 +478,18 @@
     assert world.run(world.audit.look) == []
 
 
+def test_audit_takes_no_connection_for_a_phantom_that_the_listing_leaves_out(
+    world: World, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    links = [world.link() for _ in range(3)]
+    monkeypatch.setattr("indigokeel.net.connections.audit._FD", str(tmp_path))  # a listing of nothing
+    assert world.run(world.audit.look) == []
+    assert [link.state for link in links] == [State.IN_USE] * 3 and len(world.connections.books) == 3
+    os.close(links[1].fd)  # and what is gone is still found
+    found = world.run(world.audit.look)
+    assert isinstance(found, list) and [f.kind for f in found] == ["phantom"]
+
+
 def test_new_node_is_warmed_once(world: World) -> None:
     for _ in range(3):
         world.run(lambda: world.connections.warm("up", world.addresses["up"]))
