Give each sidecar of a large fleet a part of it that follows its own traffic

A first probe's 435 time-outs stood on about 14 nodes that each sidecar met by itself.

At fault: Balancer._key_window, which let every job with a key range over the whole list, past the subset; and a subset of 5 s of traffic, which bound nobody over 12 jobs a second.

Now all cut from one order, at as many places as it takes to cover the fleet.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -55,6 +55,7 @@
 # --- the settings of the mechanism, each with its reason --------------------------------------
 
 BUSY = 0.95  # an upstream over this utilisation is struck out: a queue grows without bound near 1
+SHUFFLE = 0x5851F42D4C957F2D  # mixes the order that subsets are cut from
 LOW_LOAD_RATIO = 0.5  # BP-65's lowLoadBookieRatio: with more than this struck out, pick at random
 QUARANTINE_DOUBT = 0.0005  # an upstream is quarantined after as many failures in a row as a healthy one
 QUARANTINE_MOST = 6  # ... shows with less than this chance, given how common failures are; at most these
@@ -62,8 +63,8 @@
 QUARANTINE_VISITS = 0.3  # ... but this part of the time until a sidecar would use it again by chance
 HANG_FELT = 5.0  # a time-out this many times over the usual latency counts as two failures
 QUARANTINE_LONGEST = 10.0  # s; ... doubled while it keeps failing, up to this
-SUBSET_LEAST = 12  # upstreams a quiet sidecar uses: fewer leave no choice when some are bad
-SUBSET_SECONDS = 5.0  # s of own traffic a subset is sized for: one request each in that time
+SUBSET_LEAST = 20  # upstreams a quiet sidecar uses: fewer leave no choice when some are bad
+SUBSET_SECONDS = 1.0  # s of own traffic a subset is sized for: one request each in that time
 WHEEL_FROM = 16  # upstreams in a pool, from where one is drawn at a time instead of all being laid out
 DRAWS = 64  # before all are laid out after all
 SAMPLE = 32  # upstreams of a large pool that a further attempt is chosen from
@@ -134,10 +135,11 @@
         self._classes = {cls.name: cls for cls in settings.classes}
         self._stats = {cls.name: ClassStats(cls) for cls in settings.classes}
         self._upstreams: dict[str, Upstream] = {}
-        self._ring: list[Upstream] = []  # by salt, for keys
+        self._serving: list[Upstream] = []
+        self._ring: list[Upstream] = []  # the subset, by salt, for keys
         self._salts: list[int] = []
-        self._cells: dict[int, list[Upstream]] = {}  # the ring by cell
-        self._ranked: list[Upstream] = []  # in this sidecar's own order
+        self._cells: dict[int, list[Upstream]] = {}  # those that serve, by cell
+        self._ranked: list[Upstream] = []  # in the order that this sidecar cuts its subset from
         self._requests: dict[str, Request] = {}
         self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
         self._idle: OrderedDict[str, None] = OrderedDict()  # with idle connections, longest ago first
@@ -233,26 +235,38 @@
         return self._groups.setdefault((member.kind, member.cell), Estimate(kind, 0.05))
 
     def _index(self) -> None:
-        """Lay out the serving upstreams: by salt for keys, and in the own order for the subset, where
-        every zone has a place for each of its upstreams, evenly spread."""
+        """Lay out the serving upstreams: by salt, and in the order for the subset, where every zone has a
+        place for each of its upstreams, evenly spread."""
         serving = [u for u in self._upstreams.values() if u.member.state is State.SERVING]
-        self._ring = sorted(serving, key=lambda u: u.salt)
-        self._salts = [u.salt for u in self._ring]
+        self._serving = sorted(serving, key=lambda u: u.salt)
         self._cells = {}
-        for upstream in self._ring:
+        for upstream in self._serving:
             self._cells.setdefault(upstream.member.cell, []).append(upstream)
-        mine = mix(self._settings.me + 1, 0x5851F42D4C957F2D)
         lanes: dict[str, list[Upstream]] = {}
-        for upstream in sorted(serving, key=lambda u: mix(u.salt, mine)):
+        for upstream in sorted(serving, key=lambda u: mix(u.salt, SHUFFLE)):
             lanes.setdefault(upstream.member.zone, []).append(upstream)
         self._subset_until = -math.inf
+        # The order is the same at every sidecar, and each begins at one of a few places in it. Guards
+        # against keys that have a home of their own at every sidecar, and so are warm nowhere.
+        begin = self._place(len(serving))
         order = [
-            ((rank + 0.5) / len(lane), i, u)
+            (((rank + 0.5) / len(lane) - begin) % 1.0, i, u)
             for i, lane in enumerate(lanes.values())
             for rank, u in enumerate(lane)
         ]
         self._ranked = [u for _, _, u in sorted(order, key=lambda item: item[:2])]
 
+    def _place(self, count: int) -> float:
+        """Where in the order this sidecar's subset begins: of so many places, evenly apart, that the least
+        subsets cover all; a power of two, so that places stay as they are while the fleet changes."""
+        places = 1
+        while places * SUBSET_LEAST < count:
+            places *= 2
+        place, unit, left = 0.0, 0.5, self._settings.me % places
+        while left:  # the bits of the number, mirrored (van der Corput)
+            place, unit, left = place + unit * (left & 1), unit / 2.0, left >> 1
+        return place
+
     def _ask_again(self) -> None:
         if not self._settings.ask_membership:
             return
@@ -284,12 +298,15 @@
             size = max(SUBSET_LEAST, int(self._arrivals.value(now) / RATE_TAU * SUBSET_SECONDS))
             free = (u for u in self._ranked if u.jailed_until <= now)
             self._subset_now = list(islice(free, size))
+            self._ring = sorted(self._subset_now, key=lambda u: u.salt)
+            self._salts = [u.salt for u in self._ring]
             self._subset_until = now + REFRESH
             self._wheel.fill(now, self._subset_now if len(self._subset_now) > WHEEL_FROM else ())
         return self._subset_now
 
-    def _key_window(self, key: int) -> list[Upstream]:
-        """The upstreams that follow a key on the ring: the same at every sidecar."""
+    def _key_window(self, now: float, key: int) -> list[Upstream]:
+        """The upstreams of the subset that follow a key on the ring."""
+        self._subset(now)
         if len(self._ring) <= KEY_WINDOW:
             return self._ring
         start = bisect_left(self._salts, key)
@@ -300,14 +317,14 @@
         """Filter, then wheel (docs/design.md)."""
         warm = request.key  # 0 where keys do not stay warm
         if not request.attempts:
-            pool = self._key_window(warm) if warm else self._subset(now)
+            pool = self._key_window(now, warm) if warm else self._subset(now)
             if not warm and len(self._wheel):
                 return self._draw(now)
-            free = [u for u in pool if u.jailed_until <= now] or self._ring
+            free = [u for u in pool if u.jailed_until <= now] or self._serving
             return self._spin(now, free, warm) if free else None
         # A further attempt goes elsewhere, and never to a cold upstream: trouble among the warm ones
         # must not be turned on those that can bear least.
-        pool = self._ring if request.anchor() is not None else self._subset(now)
+        pool = self._serving if request.anchor() is not None else self._subset(now)
         if request.anchor() is not None and request.cls.group is Group.CELL:
             pool = self._cells.get(request.attempts[0].upstream.member.cell, pool)
         tried = [attempt.upstream for attempt in request.attempts]
@@ -494,7 +511,7 @@
             jailed = sum(1 for u in self._ranked if u.jailed_until > now)
             if jailed < len(self._ranked) / 2:  # never most of the fleet
                 # A quiet sidecar would not have come back any sooner: its time out must outlast that.
-                visits = len(self._ring) / (self._arrivals.value(now) / RATE_TAU + 0.1)
+                visits = len(self._subset_now) / (self._arrivals.value(now) / RATE_TAU + 0.1)
                 time_out = max(upstream.jail_time, QUARANTINE_VISITS * visits)
                 upstream.jailed_until = now + min(time_out, QUARANTINE_LONGEST)
                 self._subset_until = -math.inf
