Keep a sick node's own errors out of the count that says how common errors are

Checked: the quarantine needs as many failures in a row as a healthy node shows by less than one chance in 2,000; the share it reckons with took in every failure, those of the sick nodes too, and asked for four of them where the healthy ones had shown next to none. Ruled out: the chance of 0.7 to put one aside (1.4 tries a sidecar).

At fault: Balancer._failed, which raised _failure_share at once. Errors now wait at their node until it serves (then they count) or is put aside (then they don't).

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -158,7 +158,7 @@
         self._keys_total = 0.0
         self._retry_tokens, self._copy_tokens = RETRY_BURST, 0.5  # copies are earned: a start is no hang
         self._probe_tokens = PROBE_FIRST
-        self._failure_share = 0.1  # of own attempts, of late
+        self._failure_share = 0.1  # of own attempts on healthy upstreams, of late
         self._capacity = Estimate(None, 0.02)  # of all upstreams, then by kind, then by kind and cell
         self._groups: dict[tuple[str, int], Estimate] = {}
         self._sends = self._served = 1.0  # attempts and answers of late
@@ -502,7 +502,6 @@
 
     def _failed(self, now: float, upstream: Upstream, weight: int = 1) -> None:
         upstream.failures += weight
-        self._failure_share += 0.03 * (1.0 - self._failure_share)
         common = min(max(self._failure_share, 0.01), 0.99)
         enough = min(math.ceil(math.log(QUARANTINE_DOUBT) / math.log(common)), QUARANTINE_MOST)
         if upstream.failures < enough or upstream.jailed_until > now:
@@ -517,6 +516,7 @@
                 self._subset_until = -math.inf
                 upstream.jail_time = min(upstream.jail_time * 2.0, QUARANTINE_LONGEST)
                 upstream.failures = enough - 1  # on its return one more failure is enough
+                upstream.errors = 0
                 self._actions.append(Log(f"quarantine: {upstream.member.id}"))
 
     # --- requests -------------------------------------------------------------------------------
@@ -623,7 +623,10 @@
         upstream, ending = attempt.upstream, event.ending
         if ending is Ending.OK:
             self._served += 1.0
-            self._failure_share *= 0.97
+            # Errors of an upstream that then serves tell how common they are on a healthy one. Guards against
+            # the sick ones' own errors, by which a sidecar asked for more and more of them.
+            self._failure_share = 1.0 - (1.0 - 0.97 * self._failure_share) * 0.97**upstream.errors
+            upstream.errors = 0
             if event.final and now <= request.aim:
                 # Success pays for further attempts: a fleet that serves little gets few.
                 self._retry_tokens = min(self._retry_tokens + RETRY_SHARE, RETRY_BURST)
@@ -641,6 +644,7 @@
                 upstream.felt(now, event.elapsed / attempt.expected)
         elif ending is Ending.TIMEOUT:
             self._late.add(now, 1.0)
+            self._failure_share += 0.03 * (1.0 - self._failure_share)  # a jam, more likely
             if event.elapsed >= attempt.expected:  # else the client's time was just too short to tell
                 upstream.felt(now, event.elapsed / attempt.expected)
                 # One that has answered others since was not hanging but full. Guards against quarantine in a
@@ -650,6 +654,10 @@
                     self._failed(now, upstream, 2 if event.elapsed > HANG_FELT * attempt.expected else 1)
         elif ending in (Ending.ERROR, Ending.BROKEN, Ending.NO_CONNECTION, Ending.REFUSED):
             upstream.felt(now, FAILURE_FELT)
+            if ending is Ending.REFUSED:
+                self._failure_share += 0.03 * (1.0 - self._failure_share)
+            else:
+                upstream.errors += 1
             self._failed(now, upstream)
 
     def _on_started(self, now: float, event: AnswerStarted) -> None:
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -23,7 +23,8 @@
     """What this sidecar knows of one upstream."""
 
     __slots__ = (
-        "answered", "capacity", "failures", "fresh_until", "health_sum", "health_weight", "jailed_until",
+        "answered", "capacity", "errors", "failures", "fresh_until", "health_sum", "health_weight",
+        "jailed_until",
         "jail_time", "member", "open", "overdue", "probed", "probing", "ramp", "rate", "reports", "salt",
         "scale", "size", "utilisation", "view", "wheel",
     )  # fmt: skip
@@ -39,6 +40,7 @@
         self.health_weight = Decaying(HEALTH_TAU)
         self.scale = 1.0
         self.failures = 0
+        self.errors = 0  # of its failures, those not reckoned yet to what a healthy one shows
         self.answered = -math.inf  # when it last served
         self.fresh_until = -math.inf  # until then the next three need no new look
         self.size = self.ramp = self.view = 1.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,7 @@
 from indigokeel.decision import interface as api
 from indigokeel.facade import Claim, Facade, Job, Orders, Outcome
 from indigokeel.machine_list import Machine, MachineList
-from tests.conftest import KEYED, UNSAFE, make_settings
+from tests.conftest import KEYED, UNSAFE, Driver, make_members, make_settings, of, sends
 
 SIDECARS, NODES, RATE = 40, 60, 30.0  # RATE: jobs a second that a warm node can do
 SAFETY = api.Safety(cold_from=0.35, warm_within=8.8, tip_multiple=3.0, overload_for=1.5)
@@ -195,3 +195,39 @@
     assert min(Counter(me for _, me in fleet.watches).values()) >= 8  # and nobody gives up
     tenths = Counter(int(when * 10) for when, _ in fleet.watches if when > 1005.0)
     assert max(tenths.values()) <= SIDECARS / 3  # they are not in step
+
+
+def test_nodes_that_only_fail_are_left_after_few_failures() -> None:
+    """Nine of sixty nodes failed all that they were given for 10 s: each of forty sidecars paid 3.4 failures
+    for each, for it took their failures for a sign of how often a healthy node fails."""
+    paid = []
+    for seed in range(30):
+        driver = Driver(make_settings(classes=(UNSAFE,)), make_members(20), seed)
+        driver.serve(60, class_name="pay")
+        bad, failures = {f"10.0.0.{i}:80" for i in range(5)}, Counter[str]()
+        for _ in range(200):
+            driver.now += 0.05
+            _, actions = driver.request("pay")
+            for send in sends(actions):
+                how = api.Ending.ERROR if send.upstream in bad else api.Ending.OK
+                ended = driver.end(send, how)
+                if how is api.Ending.ERROR:
+                    failures[send.upstream] += 1
+                for log in of(ended, api.Log):
+                    if log.text == f"quarantine: {send.upstream}" and send.upstream in bad:
+                        paid.append(failures[send.upstream])
+                        bad.discard(send.upstream)  # one reckoning for each
+    assert len(paid) > 100 and sum(paid) / len(paid) < 2.7
+
+
+def test_failures_that_healthy_nodes_share_put_none_of_them_aside() -> None:
+    """A part of all answers are errors, at every node alike: none is worse than another."""
+    random, put_aside = Random(5), 0
+    driver = Driver(make_settings(classes=(UNSAFE,)), make_members(20))
+    for _ in range(3000):
+        driver.now += 0.05
+        _, actions = driver.request("pay")
+        for send in sends(actions):
+            how = api.Ending.ERROR if random.random() < 0.15 else api.Ending.OK
+            put_aside += sum("quarantine" in log.text for log in of(driver.end(send, how), api.Log))
+    assert put_aside <= 10
