Drop a second list of the serving upstreams; write the common share's formula once

Need: read again, _serving held the same upstreams as _ranked in another order, sorted anew with each list, and the share of common failures was raised by three copies of one formula.

Further attempts and the fallback use _ranked, cells are cut from it, and _fail_commonly is the one place of the formula.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -135,11 +135,10 @@
         self._classes = {cls.name: cls for cls in settings.classes}
         self._stats = {cls.name: ClassStats(cls) for cls in settings.classes}
         self._upstreams: dict[str, Upstream] = {}
-        self._serving: list[Upstream] = []
         self._ring: list[Upstream] = []  # the subset, by salt, for keys
         self._salts: list[int] = []
         self._cells: dict[int, list[Upstream]] = {}  # those that serve, by cell
-        self._ranked: list[Upstream] = []  # in the order that this sidecar cuts its subset from
+        self._ranked: list[Upstream] = []  # all that serve, in the order that its subset is cut from
         self._requests: dict[str, Request] = {}
         self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
         self._idle: OrderedDict[str, None] = OrderedDict()  # with idle connections, longest ago first
@@ -235,13 +234,9 @@
         return self._groups.setdefault((member.kind, member.cell), Estimate(kind, 0.05))
 
     def _index(self) -> None:
-        """Lay out the serving upstreams: by salt, and in the order for the subset, where every zone has a
+        """Lay out the serving upstreams, by cell and in the order for the subset, where every zone has a
         place for each of its upstreams, evenly spread."""
         serving = [u for u in self._upstreams.values() if u.member.state is State.SERVING]
-        self._serving = sorted(serving, key=lambda u: u.salt)
-        self._cells = {}
-        for upstream in self._serving:
-            self._cells.setdefault(upstream.member.cell, []).append(upstream)
         lanes: dict[str, list[Upstream]] = {}
         for upstream in sorted(serving, key=lambda u: mix(u.salt, SHUFFLE)):
             lanes.setdefault(upstream.member.zone, []).append(upstream)
@@ -255,6 +250,9 @@
             for rank, u in enumerate(lane)
         ]
         self._ranked = [u for _, _, u in sorted(order, key=lambda item: item[:2])]
+        self._cells = {}
+        for upstream in self._ranked:
+            self._cells.setdefault(upstream.member.cell, []).append(upstream)
 
     def _place(self, count: int) -> float:
         """Where in the order this sidecar's subset begins: of so many places, evenly apart, that the least
@@ -320,11 +318,11 @@
             pool = self._key_window(now, warm) if warm else self._subset(now)
             if not warm and len(self._wheel):
                 return self._draw(now)
-            free = [u for u in pool if u.jailed_until <= now] or self._serving
+            free = [u for u in pool if u.jailed_until <= now] or self._ranked
             return self._spin(now, free, warm) if free else None
         # A further attempt goes elsewhere, and never to a cold upstream: trouble among the warm ones
         # must not be turned on those that can bear least.
-        pool = self._serving if request.anchor() is not None else self._subset(now)
+        pool = self._ranked if request.anchor() is not None else self._subset(now)
         if request.anchor() is not None and request.cls.group is Group.CELL:
             pool = self._cells.get(request.attempts[0].upstream.member.cell, pool)
         tried = [attempt.upstream for attempt in request.attempts]
@@ -500,6 +498,10 @@
 
     # --- quarantine -----------------------------------------------------------------------------
 
+    def _fail_commonly(self, failures: int = 1) -> None:
+        """Take in failures that speak of the fleet and not of the one upstream."""
+        self._failure_share = 1.0 - (1.0 - self._failure_share) * 0.97**failures
+
     def _failed(self, now: float, upstream: Upstream, weight: int = 1) -> None:
         upstream.failures += weight
         common = min(max(self._failure_share, 0.01), 0.99)
@@ -625,8 +627,10 @@
             self._served += 1.0
             # Errors of an upstream that then serves tell how common they are on a healthy one. Guards against
             # the sick ones' own errors, by which a sidecar asked for more and more of them.
-            self._failure_share = 1.0 - (1.0 - 0.97 * self._failure_share) * 0.97**upstream.errors
-            upstream.errors = 0
+            self._failure_share *= 0.97
+            if upstream.errors:
+                self._fail_commonly(upstream.errors)
+                upstream.errors = 0
             if event.final and now <= request.aim:
                 # Success pays for further attempts: a fleet that serves little gets few.
                 self._retry_tokens = min(self._retry_tokens + RETRY_SHARE, RETRY_BURST)
@@ -644,7 +648,7 @@
                 upstream.felt(now, event.elapsed / attempt.expected)
         elif ending is Ending.TIMEOUT:
             self._late.add(now, 1.0)
-            self._failure_share += 0.03 * (1.0 - self._failure_share)  # a jam, more likely
+            self._fail_commonly()  # a jam, more likely than this one
             if event.elapsed >= attempt.expected:  # else the client's time was just too short to tell
                 upstream.felt(now, event.elapsed / attempt.expected)
                 # One that has answered others since was not hanging but full. Guards against quarantine in a
@@ -655,7 +659,7 @@
         elif ending in (Ending.ERROR, Ending.BROKEN, Ending.NO_CONNECTION, Ending.REFUSED):
             upstream.felt(now, FAILURE_FELT)
             if ending is Ending.REFUSED:
-                self._failure_share += 0.03 * (1.0 - self._failure_share)
+                self._fail_commonly()
             else:
                 upstream.errors += 1
             self._failed(now, upstream)
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -24,9 +24,8 @@
 
     __slots__ = (
         "answered", "capacity", "errors", "failures", "fresh_until", "health_sum", "health_weight",
-        "jailed_until",
-        "jail_time", "member", "open", "overdue", "probed", "probing", "ramp", "rate", "reports", "salt",
-        "scale", "size", "utilisation", "view", "wheel",
+        "jail_time", "jailed_until", "member", "open", "overdue", "probed", "probing", "ramp", "rate",
+        "reports", "salt", "scale", "size", "utilisation", "view", "wheel",
     )  # fmt: skip
 
     def __init__(self, member: Member, group: Estimate) -> None:
