Play the hard cases of a large fleet on the one harness; tighten the bound on cold nodes

One is now a Fleet of one sidecar; discovery's failing is the fleet's own. All assertions stay but the bound on cold nodes, 1.0, which is now 0.8. Seen to fail with the code changed back, each in its own test: the jitter of list calls, their doubling wait, the limit on cold nodes (both cases), the price of what reached nobody, errors counted at once, the subset. No change to the program.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,7 +17,7 @@
 import pytest
 
 from indigokeel.decision import interface as api
-from indigokeel.facade import Claim, Facade, Job, Orders, Outcome
+from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
 from indigokeel.machine_list import Machine, MachineList
 from tests.conftest import KEYED, UNSAFE, Driver, make_members, make_settings, of, sends
 
@@ -31,11 +31,20 @@
 
 
 class Fleet:
-    """Facades, the nodes that serve their claims, and one clock."""
-
-    def __init__(self, sidecars: int = SIDECARS, nodes: int = NODES, seed: int = 1) -> None:
+    """Facades, the nodes that serve their claims, and one clock. Discovery answers nobody: every call for
+    the list fails. Nodes that are ``dead`` refuse every connection."""
+
+    def __init__(
+        self,
+        sidecars: int = SIDECARS,
+        nodes: int = NODES,
+        seed: int = 1,
+        machines: list[Machine] | None = None,
+    ) -> None:
         self.random, self.now = Random(seed), 1000.0
-        self.machines = [machine(number) for number in range(nodes)]
+        self.machines = machines or [machine(number) for number in range(nodes)]
+        self.dead: set[str] = set()
+        self.answers: dict[str, list[tuple[float, Verdict]]] = {}  # by job
         self.starts: dict[str, float] = {}  # of those that began cold
         self.sends: dict[
             str, list[float]
@@ -70,8 +79,11 @@
     def obey(self, me: int, orders: Orders) -> None:
         if orders.watch:
             self.watches.append((self.now, me))
+            self.at(self.now + 0.01, lambda: self.obey(me, self.facades[me].list_failed(self.now)))
         for claim in orders.claims:
             self.begin(me, claim)
+        for answer in orders.answers:
+            self.answers.setdefault(answer.job, []).append((self.now, answer.verdict))
         due = self.facades[me].due()
         if due < self._wound[me]:
             self._wound[me] = due
@@ -86,7 +98,10 @@
         self.used[me][claim.node] += 1
         if me in self.told:
             self.sends.setdefault(claim.node, []).append(self.now)
-        if self.facades[me].begin(self.now, claim):
+        if claim.node in self.dead:
+            lost = Outcome.NO_CONNECTION
+            self.at(self.now + 0.002, lambda: self.obey(me, self.facades[me].report(self.now, claim, lost)))
+        elif self.facades[me].begin(self.now, claim):
             self.at(self.now + self.random.uniform(0.02, 0.08), lambda: self.finish(me, claim))
 
     def finish(self, me: int, claim: Claim) -> None:
@@ -176,18 +191,13 @@
         fleet.at(1004.0 + delay, lambda me=me: tell(me))  # type: ignore[misc]
     fleet.run(1016.0)
     assert sum(len(fleet.sends.get(node, ())) for node in fleet.starts) > 500  # they do get work
-    assert worst_cold(fleet) < 1.0
+    assert worst_cold(fleet) < 0.8  # it falls over at 1; both are near that without the limit
 
 
 def test_list_calls_of_all_are_bounded_while_discovery_answers_nobody() -> None:
     """All sidecars start together and every call for the list fails at once."""
     fleet = Fleet()
-    failed = 0
-    for step in range(600):
-        fleet.run(1000.0 + step * 0.05)
-        for when, me in fleet.watches[failed:]:
-            fleet.at(when + 0.01, lambda me=me: fleet.obey(me, fleet.facades[me].list_failed(fleet.now)))  # type: ignore[misc]
-        failed = len(fleet.watches)
+    fleet.run(1030.0)
     calls = Counter(int(when - 1000.0) for when, _ in fleet.watches)
     assert calls[0] <= 3 * SIDECARS  # one at once, and at most two more in the first second
     assert all(calls[second] <= SIDECARS for second in range(3, 30))
