Read load reports under the names that the settings give

Ruled out: reports left out by the nodes (they come), and the parser of heads (the header is there). At fault: net/http.py, _LOAD_FIELDS knew util and qps, not busy and rate, which telemetry.columns names; the simulator's adapter had the right words in a table of its own. There is one table now, in config.py.

--- a/indigokeel/adapter.py
+++ b/indigokeel/adapter.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from indigokeel.config import SettingsError, decode_settings
+from indigokeel.config import LOAD_FIELDS, SettingsError, decode_settings
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import Balancer
 
@@ -28,14 +28,6 @@
     "recalled": api.Ending.CANCELLED,
     "superseded": api.Ending.NEVER_SENT,
 }
-_LOAD_FIELDS = {
-    "rate": "rate",
-    "busy": "utilisation",
-    "rif": "in_flight",
-    "q": "queued",
-    "lat_ms": "latency",
-    "fail_rate": "error_rate",
-}
 
 
 class WireError(ValueError):
@@ -59,7 +51,7 @@
         name, colon, value = pair.partition(":")
         if not colon:
             raise WireError(f"a load report without ':' in {pair!r}")
-        known = _LOAD_FIELDS.get(name)
+        known = LOAD_FIELDS.get(name)
         if known is not None:
             figures[known] = float(value) / 1000.0 if known == "latency" else float(value)
     return api.Load(**figures)
--- a/indigokeel/config.py
+++ b/indigokeel/config.py
@@ -16,6 +16,22 @@
 from indigokeel.machine_list import MachineList, machine_list, parse_address
 
 _REPORTS = {"answers": api.Reports.ANSWERS, "probe": api.Reports.PROBES, "none": api.Reports.NONE}
+# A load report's figures. Reports bring them under the names that ``telemetry.columns`` of the settings
+# gives, or under those of the protocol's examples, the second of each.
+LOAD_FIELDS = {
+    "busy": "utilisation",
+    "util": "utilisation",
+    "rate": "rate",
+    "qps": "rate",
+    "rif": "in_flight",
+    "inflight": "in_flight",
+    "q": "queued",
+    "queue": "queued",
+    "lat_ms": "latency",
+    "latency_ms": "latency",
+    "fail_rate": "error_rate",
+    "eps": "error_rate",
+}
 
 
 class SettingsError(ValueError):
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -15,19 +15,13 @@
 from functools import lru_cache
 from http import HTTPStatus
 
+from indigokeel.config import LOAD_FIELDS
+
 MAX_HEAD = 16 * 1024  # bytes of a message's head
 MAX_BODY = 64 * 1024  # bytes of a body, by the protocol
 
 Body = list[bytes]  # the pieces of a body as they were read
 
-_LOAD_FIELDS = {
-    "util": "utilisation",
-    "qps": "rate",
-    "inflight": "in_flight",
-    "queue": "queued",
-    "latency_ms": "latency",
-    "eps": "error_rate",
-}
 # What a figure may be at most: past it the report was spoilt on its way, and it is taken for missing.
 # Utilisation may stand a little over 1, for reports are noisy.
 _LOAD_MOST = {"utilisation": 2.0, "error_rate": 1e5, "latency": 1e6}
@@ -76,7 +70,7 @@
     figures: dict[str, float] = {}
     for pair in text.split(","):
         name, _, value = pair.partition("=")
-        known = _LOAD_FIELDS.get(name.strip())
+        known = LOAD_FIELDS.get(name.strip())
         if known is None:
             continue
         try:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -66,6 +66,11 @@
         ("", None),
         ("inflight=7,queue=2,util=0.61", {"in_flight": 7.0, "queued": 2.0, "utilisation": 0.61}),
         ("qps=-1,util=0.5", {"utilisation": 0.5}),
+        ("busy=0.920,rate=4.357", {"utilisation": 0.92, "rate": 4.357}),  # as telemetry.columns names them
+        (
+            "rif=7,q=2,lat_ms=20,fail_rate=0.5",
+            {"in_flight": 7.0, "queued": 2.0, "latency": 0.02, "error_rate": 0.5},
+        ),
         ("util=x, qps=3 ,odd=1,=,latency_ms=20", {"rate": 3.0, "latency": 0.02}),
         ("util=nan,qps=inf", None),
         ("util=1e9,qps=1e300", None),
