Strike a node out as busy only by an average of three reports or more

A sidecar of 200 hears of each of its 20 nodes about once in 2 s, so what was averaged was one report. So single noisy reports moved keys off the nodes that had them warm. At fault: Upstream.average, which called one report an average.

--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -14,6 +14,7 @@
 WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
 QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
 CAPACITY_MIN_UTIL = 0.15  # below this utilisation rate / utilisation is mostly noise
+AVERAGED_LEAST = 3  # reports in that time, from where the average says how busy it is: BP-65 averages three
 HEALTH_TAU = 10.0  # s in which what own latencies told loses most of its weight
 HEALTH_PRIOR = 2.0  # answers that the belief "as fast as the others" is worth; 8 lost on full-size days
 SHED_TAU = 4.0  # s over which requests are counted, for each class's part in what is shed
@@ -64,8 +65,11 @@
             self.capacity.add(math.log(rate / (utilisation * self.scale)))
 
     def average(self, now: float) -> None:
-        """Let reports older than the window go and average the rest."""
+        """Let reports older than the window go and average the rest. One or two are noise, not an average:
+        guards against striking a sound upstream out by them."""
         self.rate, self.utilisation = self.reports.means(now) or (-1.0, -1.0)
+        if len(self.reports) < AVERAGED_LEAST:
+            self.utilisation = -1.0
 
     def felt(self, now: float, ratio: float) -> None:
         """Take in one own latency, as a multiple of what was expected."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -70,6 +70,23 @@
     assert got.get(names[0], 0) + got.get(names[1], 0) == 0
 
 
+def test_a_single_noisy_report_strikes_nobody_out() -> None:
+    """Found on zone days of 200 sidecars, each of which hears of a node every few seconds: jobs with a key left
+    the nodes that had it warm, and the fleet got less done than without any reports."""
+    names = [m.id for m in make_members(6)]
+    for reports, struck in ((1, False), (2, False), (20, True)):
+        driver = Driver(make_settings(), make_members(6))
+        left = dict.fromkeys(names, 20) | {names[0]: reports}
+        for _ in range(600):
+            driver.now += 0.004  # all of it within the time that reports are averaged over
+            _, actions = driver.request()
+            send = sends(actions)[0]
+            left[send.upstream] -= 1
+            busy = 0.99 if send.upstream == names[0] else 0.6
+            driver.end(send, load=load(20.0, busy) if left[send.upstream] >= 0 else None)
+        assert (names[0] not in picks(driver)) == struck
+
+
 def test_random_when_over_half_are_struck_out(driver: Driver) -> None:
     names = [m.id for m in make_members(6)]
     teach(driver, {n: load(20.0, 1.0 if i < 4 else 0.5) for i, n in enumerate(names)})
