--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -71,8 +71,8 @@
 
 
 def test_a_single_noisy_report_strikes_nobody_out() -> None:
-    """Found on zone days of 200 sidecars, each of which hears of a node every few seconds: jobs with a key left
-    the nodes that had it warm, and the fleet got less done than without any reports."""
+    """Found on zone days of 200 sidecars, each of which hears of a node every few seconds: jobs with a key
+    left the nodes that had it warm, and the fleet got less done than without any reports."""
     names = [m.id for m in make_members(6)]
     for reports, struck in ((1, False), (2, False), (20, True)):
         driver = Driver(make_settings(), make_members(6))
