Let what is known of a pod go with its last node

Need: memory over 45 minutes of nodes that come and go. Seen: facade with 30 nodes replaced in each of 160 cycles by new names in pods of new numbers; objects held by it after 61 and 160 cycles: 6,287 and 14,455. Ruled out: jobs, claims, agenda, idle names (all back to where they were). At fault: Balancer._groups, one estimate a kind and pod, for good.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from itertools import accumulate, islice
 from random import Random
+from weakref import WeakValueDictionary
 
 from indigokeel.decision.interface import (
     BEAT,
@@ -169,7 +170,9 @@
         self._probe_tokens = PROBE_FIRST
         self._failure_share = 0.1  # of own attempts on healthy upstreams, of late
         self._capacity = Estimate(None, 0.02)  # of all upstreams, then by kind, then by kind and cell
-        self._groups: dict[tuple[str, int], Estimate] = {}
+        self._kinds: dict[str, Estimate] = {}
+        # Held by their upstreams alone: guards against growth where cells come and go by new numbers.
+        self._groups: WeakValueDictionary[tuple[str, int], Estimate] = WeakValueDictionary()
         self._sends = self._served = 1.0  # attempts and answers of late
         self._subset_now: list[Upstream] = []
         self._subset_until = -math.inf
@@ -240,7 +243,7 @@
         known.scale = max(member.scale, 1e-6) if self._settings.scale_is_size else 1.0
 
     def _group(self, member: Member) -> Estimate:
-        kind = self._groups.setdefault((member.kind, -1), Estimate(self._capacity, 0.02))
+        kind = self._kinds.setdefault(member.kind, Estimate(self._capacity, 0.02))
         return self._groups.setdefault((member.kind, member.cell), Estimate(kind, 0.05))
 
     def _index(self) -> None:
--- a/indigokeel/structures/sums.py
+++ b/indigokeel/structures/sums.py
@@ -62,7 +62,7 @@
 class Estimate:
     """A running mean that is drawn to its parent's while it rests on little."""
 
-    __slots__ = ("_count", "_mean", "_parent", "_slowest")
+    __slots__ = ("__weakref__", "_count", "_mean", "_parent", "_slowest")
 
     def __init__(self, parent: Estimate | None, slowest: float) -> None:
         self._parent, self._slowest = parent, slowest
