Keep tenants apart in an overload after a job of no tenant with a quota

Seen on rereading: Balancer._over_share turned the shares off while the count of such jobs was over 0, and a decaying count stays over 0 for good after one job. They are now shed by the common part and the tenants among themselves, with no special case. Seen to fail before: the test of the tenant over its share, with one such job first. Jobs that all name a tenant with a quota are decided on as before.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -794,15 +794,13 @@
         for beyond the others, each measured by its quota. Guards against the burst of one tenant, most of
         it worth little, that has the others' requests refused. How large a part of the fleet's traffic
         passes through this sidecar is not known, and cancels out."""
-        everyone = [*self._tenants.values(), self._other]
-        counts = [tenant.arrivals.value(now) for tenant in everyone]
-        if self._settings.over_share_worth >= 1.0 or counts[-1] > 0.0:
-            return [(tenant, excess) for tenant in everyone]
-        kept = trim(counts, [tenant.quota for tenant in everyone], excess * sum(counts))
-        return [
-            (tenant, 1.0 - rest / count if count > 0.0 else 0.0)
-            for tenant, count, rest in zip(everyone, counts, kept, strict=True)
-        ]
+        tenants = list(self._tenants.values())
+        if self._settings.over_share_worth >= 1.0:
+            return [(tenant, excess) for tenant in (*tenants, self._other)]
+        counts = [tenant.arrivals.value(now) for tenant in tenants]
+        kept = trim(counts, [tenant.quota for tenant in tenants], excess * sum(counts))
+        parts = [1.0 - rest / count if count > 0.0 else 0.0 for count, rest in zip(counts, kept, strict=True)]
+        return [(self._other, excess), *zip(tenants, parts, strict=True)]
 
     def _apportion(self, now: float, excess: float) -> list[tuple[ClassStats, float]]:
         """What part of each class is to go for ``excess`` of all requests to go, least worth first."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -230,6 +230,7 @@
     driver = Driver(make_settings(tenants=tenants, over_share_worth=worth), make_members(6))
     refused, asked = {"loud": 0, "quiet": 0}, {"loud": 0, "quiet": 0}
     sent: deque[float] = deque(maxlen=25)
+    driver.request(tenant="stranger")  # one job of no tenant with a quota changes nothing for the others
     for i in range(1500):
         driver.now += 0.02
         tenant = "quiet" if i % 10 == 0 else "loud"  # 5 and 45 a second
