Serve beside another process on a shared listener, with cordons and whole settings

Now: the listener is descriptor 7 where BALANCER_LISTEN_FD says so; on SIGTERM the old process stops accepting at once and keeps its connections until each has brought its next job or stood idle. `mgmt` listens for operators (net/management.py). Cordons are a pure layer over the machine list (cordons.py), passed on by a file in TMPDIR (handover.py). Settings are compared with those in force, decoded, checked and swapped whole; open jobs keep their class, statistics and attempts.

--- a/indigokeel/config.py
+++ b/indigokeel/config.py
@@ -5,14 +5,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+import contextlib
+import math
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
 
 from indigokeel.decision import interface as api
+from indigokeel.decision.balancer import check
 from indigokeel.machine_list import MachineList, machine_list, parse_address
 
 _REPORTS = {"answers": api.Reports.ANSWERS, "probe": api.Reports.PROBES, "none": api.Reports.NONE}
@@ -53,22 +56,36 @@
     sockets: int  # descriptors that the process may hold
     known: MachineList  # as this sidecar last had it; may be old
     settings: api.Settings
+    mgmt: tuple[str, int] | None = None  # the operators' address; None: there is none
+    listen_fd: int = -1  # the platform's listening socket, inherited; -1: there is none
+    state_dir: str = ""  # where processes of this sidecar find what the one before knew; "": nowhere
+    raw: Mapping[str, Any] = field(default_factory=dict)  # the file's content, but for its lists
 
 
 def load_config(env: Mapping[str, str]) -> Config:
-    """Read the file that BALANCER_CONFIG names; the other variables go before what it says."""
+    """Read the file that BALANCER_CONFIG names; the other variables go before what it says. Raises
+    ConfigError on one that no sidecar can start from."""
+    with _told():
+        return _config(_read(env), env)
+
+
+def reload_config(env: Mapping[str, str], force: Config) -> Config:
+    """Read the file again while ``force`` holds. What it lacks of that one, or tells in another kind of
+    value, makes it a broken file: ConfigError names the first such key. ``discovery`` is told in the file
+    alone: what the environment says of it is from the start, and the file is newer."""
+    with _told():
+        data = _read(env)
+        fault = _unlike(force.raw, data)
+        if fault:
+            raise SettingsError(fault)
+        return _config(data, {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"})
+
+
+@contextlib.contextmanager
+def _told() -> Iterator[None]:
+    """Whatever is wrong with a file is a ConfigError of one line."""
     try:
-        data = orjson.loads(Path(env["BALANCER_CONFIG"]).read_bytes())
-        seed = data.get("seed", "0")
-        return Config(
-            name=str(env.get("BALANCER_NAME") or data["name"]),
-            listen=parse_address(env.get("BALANCER_LISTEN") or data["listen"]),
-            discovery=parse_address(env.get("BALANCER_DISCOVERY") or data["discovery"]),
-            seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-            sockets=int(data.get("limits", {}).get("sockets", 1024)),
-            known=machine_list(data.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
-            settings=decode_settings(data["settings"]),
-        )
+        yield
     except OSError as error:
         raise ConfigError(f"cannot read the configuration: {error}") from None
     except KeyError as error:
@@ -77,15 +94,59 @@
         raise ConfigError(" ".join(str(error).split())) from None
 
 
-def reload_discovery(env: Mapping[str, str]) -> tuple[str, int]:
-    """Where discovery listens by the file as it is now. Told in the file alone: what the environment says
-    is from the start, and the file is newer."""
-    try:
-        return parse_address(orjson.loads(Path(env["BALANCER_CONFIG"]).read_bytes())["discovery"])
-    except OSError as error:
-        raise ConfigError(f"cannot read the configuration: {error}") from None
-    except (KeyError, ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"no address of discovery: {' '.join(str(error).split())}") from None
+def _read(env: Mapping[str, str]) -> dict[str, Any]:
+    data = orjson.loads(Path(env["BALANCER_CONFIG"]).read_bytes())
+    if not isinstance(data, dict):
+        raise SettingsError("the configuration is not an object")
+    return data
+
+
+def _config(data: dict[str, Any], env: Mapping[str, str]) -> Config:
+    seed, mgmt = data.get("seed", "0"), env.get("BALANCER_MGMT") or data.get("mgmt")
+    settings = decode_settings(data["settings"])
+    check(settings)
+    return Config(
+        name=str(env.get("BALANCER_NAME") or data["name"]),
+        listen=parse_address(env.get("BALANCER_LISTEN") or data["listen"]),
+        discovery=parse_address(env.get("BALANCER_DISCOVERY") or data["discovery"]),
+        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+        sockets=int(data.get("limits", {}).get("sockets", 1024)),
+        known=machine_list(data.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
+        settings=settings,
+        mgmt=parse_address(mgmt) if mgmt else None,
+        listen_fd=int(env.get("BALANCER_LISTEN_FD") or -1),
+        state_dir=env.get("TMPDIR", "") if mgmt else "",
+        raw={key: {} if key == "known" else value for key, value in data.items()},
+    )
+
+
+_KINDS: tuple[tuple[type, ...], ...] = ((bool,), (int, float), (str,), (list,), (dict,))
+
+
+def _unlike(force: Any, new: Any, path: str = "") -> str:
+    """What of a value in force the new one lacks or tells in another kind; "" where nothing. Guards against
+    the file that was cut off or spoilt and can still be read: defaults would stand in for what it lost."""
+    if force is None:
+        return ""
+    kind = next(kind for kind in _KINDS if isinstance(force, kind))
+    if not isinstance(new, kind) or (isinstance(new, bool) and bool not in kind):
+        return f"{path or 'the configuration'} is of another kind"
+    if isinstance(new, float) and not math.isfinite(new):
+        return f"{path} is no number"
+    found: Any = new
+    if isinstance(force, dict):
+        for key, value in force.items():
+            at = f"{path}.{key}" if path else key
+            if key not in found:
+                return f"{at} is missing"
+            if fault := _unlike(value, found[key], at):
+                return fault
+    elif isinstance(force, list) and force and all(isinstance(item, dict) for item in force):
+        common = {k: v for k, v in force[0].items() if all(k in item for item in force)}
+        for number, item in enumerate(found):
+            if fault := _unlike(common, item, f"{path}[{number}]"):
+                return fault
+    return ""
 
 
 def decode_settings(data: Any) -> api.Settings:
--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -120,7 +120,7 @@
         if not good:
             raise ValueError(f"settings: {name} is out of range")
 
-    need(len(settings.classes) > 0, "classes")
+    need(len({cls.name for cls in settings.classes}) == len(settings.classes) > 0, "classes")
     need(settings.sidecars >= 1, "sidecars")
     need(settings.me >= 0, "me")
     for cls in settings.classes:
@@ -138,20 +138,17 @@
     """All decisions of one sidecar. ``handle`` takes the clock and an event and returns actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        check(settings)
-        self._settings = settings
+        self._stats: dict[str, ClassStats] = {}
+        self._tenants: dict[str, TenantStats] = {}
+        self.use(settings)
         self._random = Random(seed)
-        self._classes = {cls.name: cls for cls in settings.classes}
-        self._stats = {cls.name: ClassStats(cls) for cls in settings.classes}
-        self._tenants = {t.name: TenantStats(t.quota) for t in settings.tenants if t.quota > 0.0}
-        self._other = TenantStats(0.0)  # jobs of no tenant with a quota
+        self._other = TenantStats()  # jobs of no tenant with a quota
         self._upstreams: dict[str, Upstream] = {}
         self._ring: list[Upstream] = []  # the subset, by salt, for keys
         self._salts: list[int] = []
         self._cells: dict[int, list[Upstream]] = {}  # those that serve, by cell
         self._ranked: list[Upstream] = []  # all that serve, in the order that its subset is cut from
         self._requests: dict[str, Request] = {}
-        self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
         self._idle: OrderedDict[str, None] = OrderedDict()  # with idle connections, longest ago first
         self._held: OrderedDict[str, Request] = OrderedDict()
         self._timers: dict[int, Callable[[float], None]] = {}
@@ -163,7 +160,6 @@
         self._shed_until, self._shedding = -math.inf, False
         self._lag, self._late_beat = 0.0, False
         self._let_in = 1.0  # the part of the requests that is let in at the door
-        self._lag_most = LAG_MOST * min(cls.aim for cls in settings.classes)
         self._keys: dict[int, float] = {}
         self._keys_total = 0.0
         self._retry_tokens, self._copy_tokens = RETRY_BURST, 0.5  # copies are earned: a start is no hang
@@ -192,6 +188,18 @@
             Lagged: self._on_lagged,
         }
 
+    def use(self, settings: Settings) -> None:
+        """Take settings, whole, or raise ValueError. Open requests keep what they came under; of classes and
+        tenants that stay, what was learnt."""
+        check(settings)
+        self._settings = settings
+        self._idle_kept = IDLE_KEPT if settings.prices.connection > 0.0 else IDLE_KEPT_FREE
+        self._lag_most = LAG_MOST * min(cls.aim for cls in settings.classes)
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._stats = {cls.name: self._stats.get(cls.name) or ClassStats(cls) for cls in settings.classes}
+        self._quotas = {t.name: t.quota for t in settings.tenants if t.quota > 0.0}
+        self._tenants = {name: self._tenants.get(name) or TenantStats() for name in self._quotas}
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Decide on one event at clock time ``now``."""
         self._actions = []
@@ -543,11 +551,11 @@
         key = 0
         if event.key and self._settings.warm_keys:
             key = self._spread_key(hash64(event.key))
-        request = Request(event, cls, key, now)
+        stats = self._stats[cls.name]
+        request = Request(event, cls, stats, self._settings.limits.max_attempts, key, now)
         self._requests[event.id] = request
         self._shed_base.add(now, 1.0)
         self._arrivals.add(now, 1.0)
-        stats = self._stats[cls.name]
         stats.arrivals.add(now, 1.0)
         tenant = self._tenants.get(event.tenant, self._other)
         tenant.arrivals.add(now, 1.0)
@@ -582,8 +590,7 @@
             self._end(request)
 
     def _send(self, now: float, request: Request, upstream: Upstream) -> None:
-        stats = self._stats[request.cls.name]
-        expected = stats.expected(request.hint)
+        expected = request.stats.expected(request.hint)
         attempt = Attempt(upstream, now, expected)
         request.attempts.append(attempt)
         upstream.open += 1
@@ -657,7 +664,7 @@
             upstream.failures, upstream.answered = 0, now
             upstream.jail_time = QUARANTINE_FIRST
             upstream.felt(now, event.elapsed / attempt.expected)
-            self._stats[request.cls.name].seen(event.elapsed, request.hint)
+            request.stats.seen(event.elapsed, request.hint)
         elif ending is Ending.CANCELLED:
             if event.elapsed > attempt.expected:  # at least as slow as this
                 upstream.felt(now, event.elapsed / attempt.expected)
@@ -738,9 +745,9 @@
 
     def _worth_trying(self, now: float, request: Request) -> bool:
         """Whether another attempt is allowed and can still earn something."""
-        if len(request.attempts) >= self._settings.limits.max_attempts or not self._may_repeat(now, request):
+        if len(request.attempts) >= request.most or not self._may_repeat(now, request):
             return False
-        return now + 0.5 * self._stats[request.cls.name].expected(request.hint) < request.latest
+        return now + 0.5 * request.stats.expected(request.hint) < request.latest
 
     def _after_failure(self, now: float, request: Request, ending: Ending) -> None:
         """No attempt is out and none was served. Further attempts are paid for from the retry budget: a
@@ -798,7 +805,7 @@
         if self._settings.over_share_worth >= 1.0:
             return [(tenant, excess) for tenant in (*tenants, self._other)]
         counts = [tenant.arrivals.value(now) for tenant in tenants]
-        kept = trim(counts, [tenant.quota for tenant in tenants], excess * sum(counts))
+        kept = trim(counts, list(self._quotas.values()), excess * sum(counts))
         parts = [1.0 - rest / count if count > 0.0 else 0.0 for count, rest in zip(counts, kept, strict=True)]
         return [(self._other, excess), *zip(tenants, parts, strict=True)]
 
@@ -850,7 +857,8 @@
 
     def _density(self, stats: ClassStats) -> float:
         """Worth for each unit of an upstream's time."""
-        return stats.worth if self._settings.worth_by_work else stats.worth / stats.latency
+        worth = self._classes[stats.name].worth
+        return worth if self._settings.worth_by_work else worth / stats.latency
 
     # --- connections ----------------------------------------------------------------------------
 
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -100,11 +100,15 @@
     """One request from its arrival until it is over and all its attempts have ended."""
 
     __slots__ = (
-        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "latest", "started",
+        "aim", "attempts", "cls", "deadline", "done", "hint", "id", "key", "latest", "most", "started",
+        "stats",
     )  # fmt: skip
 
-    def __init__(self, event: RequestArrived, cls: ClassSettings, key: int, now: float) -> None:
+    def __init__(
+        self, event: RequestArrived, cls: ClassSettings, stats: ClassStats, most: int, key: int, now: float
+    ) -> None:
         self.id, self.cls, self.hint = event.id, cls, event.hint
+        self.stats, self.most = stats, most  # attempts at most; all as of its arrival
         self.key = key
         self.started = False  # a streamed answer has begun
         self.deadline = now + event.budget
@@ -127,22 +131,20 @@
 class TenantStats:
     """What this sidecar has seen of one tenant."""
 
-    __slots__ = ("arrivals", "quota", "shed")
+    __slots__ = ("arrivals", "shed")
 
-    def __init__(self, quota: float) -> None:
+    def __init__(self) -> None:
         self.arrivals = Decaying(SHED_TAU)
-        self.quota = quota
         self.shed: dict[str, float] = {}  # the part of its requests that is refused at once, by class
 
 
 class ClassStats:
     """What this sidecar has seen of one class: its usual latency and hint."""
 
-    __slots__ = ("arrivals", "hint", "kept_out", "latency", "name", "worth")
+    __slots__ = ("arrivals", "hint", "kept_out", "latency", "name")
 
     def __init__(self, cls: ClassSettings) -> None:
         self.arrivals = Decaying(SHED_TAU)
-        self.worth = cls.worth
         self.name = cls.name
         self.kept_out = 0.0  # the part of it that is turned away at the door while the sidecar is behind
         self.latency = cls.aim / 4.0  # until seen: aims are commonly a few times the usual latency
--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -10,11 +10,12 @@
 
 import heapq
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
 
+from indigokeel.cordons import Cordons, Mark
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import Balancer
 from indigokeel.machine_list import Machine, MachineList
@@ -26,6 +27,7 @@
 ANSWER_MARGIN_LEAST = 0.01
 _MOST_DEAD = 256  # entries of closed jobs that the agenda may hold, where they are not half of it
 _MOST_WARMED = 64  # execute nodes: on a larger fleet a sidecar uses but a part, and opens nothing ahead
+_MOST_GONE = 1024  # names kept of nodes that are listed no more: operators may name them
 _MOST_EVENTS = 1000  # that one call may set off in the module: guards against a loop that never ends
 
 
@@ -104,6 +106,12 @@
     watch: bool = False
     fetch: bool = False
 
+    def add(self, other: Orders) -> None:
+        """Take over what another has."""
+        for name in ("claims", "answers", "given_up", "probes", "close_idle", "warm", "notes"):
+            getattr(self, name).extend(getattr(other, name))
+        self.watch, self.fetch = self.watch or other.watch, self.fetch or other.fetch
+
 
 class _OpenClaim:
     __slots__ = ("begin_by", "begun", "ended", "may_have_run", "node", "sent")
@@ -115,10 +123,11 @@
 
 
 class _OpenJob:
-    __slots__ = ("answer_by", "claims", "closed", "entries", "id", "out", "over", "repeat_window")
+    __slots__ = ("answer_by", "claims", "closed", "entries", "id", "most", "out", "over", "repeat_window")
 
-    def __init__(self, job_id: str, answer_by: float, repeat_window: float) -> None:
+    def __init__(self, job_id: str, answer_by: float, repeat_window: float, most: int) -> None:
         self.id, self.answer_by, self.repeat_window = job_id, answer_by, repeat_window
+        self.most = most  # claims at most
         self.claims: list[_OpenClaim] = []
         self.out = 0  # claims without an ending
         self.over = self.closed = False
@@ -131,21 +140,26 @@
     def __init__(self, settings: api.Settings, seed: int, unix_to_clock: float) -> None:
         """``unix_to_clock`` is what has to be added to a Unix time to get this clock's."""
         self._balancer = Balancer(settings, seed)
-        self._limits = settings.limits
-        self._aims = {cls.name: cls.aim for cls in settings.classes}
-        self._windows = {
-            cls.name: cls.repeat_window for cls in settings.classes if cls.effect is api.Effect.KEYED
-        }
+        self._use(settings)
         self._unix_to_clock = unix_to_clock
         self._jobs: dict[str, _OpenJob] = {}
         self._machines: dict[str, Machine] = {}
+        self._gone: dict[str, None] = {}  # nodes that were listed once, the last of them
         self._addresses: dict[str, tuple[str, int]] = {}  # of those that take work
+        self.cordons = Cordons()
         self._agenda: list[tuple[float, int, Callable[[float, Orders], None], _OpenJob | None]] = []
         self._dead = 0  # entries of closed jobs
         self._entries = 0
         self.owed = 0  # jobs taken and not answered
         self.faults = 0  # exceptions of the module
 
+    def _use(self, settings: api.Settings) -> None:
+        self._limits = settings.limits
+        self._aims = {cls.name: cls.aim for cls in settings.classes}
+        self._windows = {
+            cls.name: cls.repeat_window for cls in settings.classes if cls.effect is api.Effect.KEYED
+        }
+
     # --- what network code asks ---------------------------------------------------------------------
 
     def due(self) -> float:
@@ -183,6 +197,12 @@
 
     # --- what network code tells --------------------------------------------------------------------
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """Take new settings, whole; raises ValueError, and changes nothing, on some that no decision can rest
+        on. Open jobs keep the class and the number of attempts that they were taken under."""
+        self._balancer.use(settings)
+        self._use(settings)
+
     def lagged(self, now: float, seconds: float) -> Orders:
         """Tell how late the caller itself runs; at a steady beat."""
         orders = Orders()
@@ -207,7 +227,8 @@
         if job.id in self._jobs:
             raise ValueError(f"a job of this id is open: {job.id}")
         answer_by = now + self._time_for(job)
-        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, self._windows.get(job.job_class, math.inf))
+        window, most = self._windows.get(job.job_class, math.inf), self._limits.max_attempts
+        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, window, most)
         self.owed += 1
         self._enter(answer_by, partial(self._expire, opened), opened)
         event = api.RequestArrived(
@@ -256,29 +277,68 @@
 
     def listed(self, now: float, news: MachineList, cached: bool = False) -> Orders:
         """Take in a machine list, whole or in part."""
-        orders = Orders()
-        before = self._addresses
         if news.whole:
+            self._gone.update(dict.fromkeys(self._machines))
             self._machines.clear()
         for machine in news.machines:
             if machine.state is api.State.GONE:
+                self._gone[machine.name] = None
                 self._machines.pop(machine.name, None)
             else:
                 self._machines[machine.name] = machine
-        self._addresses = {
-            name: (m.host, m.port) for name, m in self._machines.items() if m.state is api.State.SERVING
-        }
+        while len(self._gone) > _MOST_GONE:
+            self._gone.pop(next(iter(self._gone)))
+        kind = api.News.CACHED if cached else api.News.FULL if news.whole else api.News.DELTA
+        return self._lay(now, kind, news.machines, news.version)
+
+    def _lay(self, now: float, kind: api.News, machines: tuple[Machine, ...], version: int = 0) -> Orders:
+        """Tell the module of machines, as the operators' word leaves them."""
+        orders = Orders()
+        before, unix = self._addresses, now - self._unix_to_clock
+        laid = [self.cordons.lay(machine, unix) for machine in self._machines.values()]
+        self._addresses = {m.name: (m.host, m.port) for m in laid if m.state is api.State.SERVING}
         # Also where one has moved: its connections lead to an address that is another's by now.
         orders.close_idle += sorted(name for name, at in before.items() if self.address(name) != at)
         if len(self._machines) <= _MOST_WARMED:
             orders.warm += sorted(
                 name for name in self._machines if self.address(name) not in (None, before.get(name))
             )
-        kind = api.News.CACHED if cached else api.News.FULL if news.whole else api.News.DELTA
-        members = tuple(self._member(machine) for machine in news.machines)
-        self._feed(now, api.MembershipNews(kind, members, news.version), orders)
+        members = tuple(self._member(self.cordons.lay(machine, unix)) for machine in machines)
+        self._feed(now, api.MembershipNews(kind, members, version), orders)
         return orders
 
+    # --- what operators say ---------------------------------------------------------------------------
+
+    def cordon(self, now: float, node: str) -> Orders | None:
+        """Take a node out until ``uncordon``, whatever lists say meanwhile; None where nobody has it."""
+        if node not in self._machines and node not in self._gone:
+            return None
+        self.cordons.cordon(node, now - self._unix_to_clock)
+        return self._marked(now, [node])
+
+    def uncordon(self, now: float, node: str) -> Orders | None:
+        """Give a node back, cold; None where nobody has it."""
+        unix = now - self._unix_to_clock
+        if node not in self._machines and node not in self._gone and not self.cordons.holds(node, unix):
+            return None
+        self.cordons.uncordon(node, unix)
+        return self._marked(now, [node])
+
+    def merge(self, now: float, marks: Iterable[Mark]) -> Orders:
+        """Take in what another process of this sidecar was told."""
+        return self._marked(now, self.cordons.merge(marks))
+
+    def _marked(self, now: float, nodes: list[str]) -> Orders:
+        orders = self._lay(now, api.News.DELTA, tuple(m for n in nodes if (m := self._machines.get(n))))
+        end = self.cordons.next_end(now - self._unix_to_clock) + self._unix_to_clock
+        if end < math.inf:
+            self._enter(end, lambda late, more: more.add(self._marked(late, list(self._machines))))
+        return orders
+
+    def machines(self) -> tuple[Machine, ...]:
+        """The list as discovery told it last."""
+        return tuple(self._machines.values())
+
     def list_failed(self, now: float) -> Orders:
         """A call to discovery failed, or a watch has ended. Told once for each."""
         orders = Orders()
@@ -441,7 +501,7 @@
         anchor = next((claim.sent for claim in job.claims if claim.may_have_run), math.inf)
         opened = _OpenClaim(send.upstream, now, anchor + job.repeat_window)
         job.claims.append(opened)
-        moot = job.over or now >= job.answer_by or number >= self._limits.max_attempts
+        moot = job.over or now >= job.answer_by or number >= job.most
         if moot or self.address(send.upstream) is None:
             opened.ended, opened.may_have_run = True, False
             events.append(
--- a/indigokeel/net/connections/manager.py
+++ b/indigokeel/net/connections/manager.py
@@ -56,6 +56,10 @@
         self._began: dict[Link, float] = {}  # when those that are opening did
         self._pumping = False
 
+    def reconfigure(self, connect_timeout: float, idle_most: float) -> None:
+        """Take other times, in seconds."""
+        self._connect_timeout, self._idle_most = connect_timeout, idle_most
+
     # --- what is asked ------------------------------------------------------------------------------
 
     def borrow(
--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -35,6 +35,7 @@
         self._begun = 0  # watches so far
         self._open: dict[asyncio.StreamWriter, int] = {}  # calls that are up, with their descriptors
         self.version = 0
+        self.answered = False  # once a call was: what changed since the version asked for comes at once
 
     def descriptors(self) -> list[int]:
         """The descriptors of the calls that are up."""
@@ -100,6 +101,7 @@
                 self._counters.add("discovery_refusals")
                 return False
             up()
+            self.answered = True
             async for line in answer.lines():
                 news = decode(line)
                 if not news.whole and news.version < self.version:
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -82,8 +82,19 @@
     return figures or None
 
 
-def bind(address: tuple[str, int]) -> socket.socket:
-    """The socket to listen on."""
+def bind(address: tuple[str, int], inherited: int = -1) -> socket.socket:
+    """The socket to listen on: a new one, or the platform's own by its descriptor, as it is. Raises OSError
+    where that is closed or no socket that listens."""
+    if inherited >= 0:
+        sock = socket.socket(fileno=inherited)
+        try:
+            if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(errno.EINVAL, f"descriptor {inherited} is no socket that listens")
+        except OSError:
+            sock.detach()
+            raise
+        sock.setblocking(False)
+        return sock
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -91,6 +91,11 @@
         )
         self._risk = self.connections.risk
 
+    def reconfigure(self, connect_timeout: float, keepalive: float) -> None:
+        """Take other times, in seconds, for what is opened or kept from now on."""
+        self._connect_timeout = connect_timeout
+        self.connections.reconfigure(connect_timeout, keepalive * _IDLE_PART)
+
     @property
     def open(self) -> int:
         """Connections that are opening, idle or in use."""
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -11,15 +11,20 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from indigokeel.config import Config, ConfigError, reload_discovery
+from indigokeel import handover
+from indigokeel.config import Config, ConfigError, reload_config
 from indigokeel.decision.interface import BEAT
 from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
+from indigokeel.handover import HandoverError
 from indigokeel.machine_list import MachineList
 from indigokeel.net import http
 from indigokeel.net.connections import Audit
 from indigokeel.net.counters import Counters
 from indigokeel.net.discovery import Discovery
 from indigokeel.net.exchange import Reply, Task
+from indigokeel.net.handover_file import HandoverFile
+from indigokeel.net.management import MOST as MOST_CALLS
+from indigokeel.net.management import Management
 from indigokeel.net.pool import Pool
 from indigokeel.net.submitters import Final, Session
 
@@ -37,6 +42,11 @@
 _MAY_CLOSE = 2.0  # s without an open job after which a submitter reckons with a close
 _STUCK = 0.5  # s after which half a message no longer keeps a connection, where room is needed
 _BACKLOG = 512
+_SYNC = 0.05  # s between looks at what another process of this sidecar was told
+_LEAVE = 1.0  # s between two writings of the machine list for the next process
+_FIRST_LIST = 1.5  # s in which discovery's first word is awaited, before this process says that it serves
+_KILLED = 3.0, 0.7  # s: SIGKILL comes the longest deadline, at most the first, and the second after SIGTERM
+_LAST = 0.15  # s before that by which all is answered and written
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
@@ -49,8 +59,13 @@
         # One clock, the system's monotonic one. Unix times of the machine list are mapped onto it once.
         self._facade = Facade(config.settings, config.seed, time.monotonic() - time.time())
         limits = config.settings.limits
+        self.settings = config.settings
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         sockets = config.sockets if soft == resource.RLIM_INFINITY else min(config.sockets, soft)
+        if config.listen_fd >= 0:  # the next process may stand beside this one, within the same limits
+            sockets //= 2
+        if config.mgmt is not None:
+            sockets -= MOST_CALLS
         self._crowd = max(int(sockets * _CROWD), 4)
         self._most = max(int((sockets - _RESERVE) * _SUBMITTERS), 8)
         self._pool = Pool(
@@ -74,6 +89,11 @@
         self._tasks: asyncio.TaskGroup
         self._spawned: set[asyncio.Task[None]] = set()
         self._audit: Audit
+        self._management = Management(self, self._counters)
+        self._left = HandoverFile(config.state_dir, config.name) if config.state_dir else None
+        self._left_at, self._listed_at, self._began = -math.inf, 0.0, time.monotonic()
+        self._accepting = False
+        self._ends_at = math.inf
         self.closing = False
         self.behind = False
 
@@ -82,6 +102,26 @@
     def healthy(self) -> bool:
         return self._facade.ready() and not self.closing
 
+    def serves(self) -> bool:
+        """What operators ask before they send the process before this one away."""
+        heard = self._discovery.answered or time.monotonic() - self._began > _FIRST_LIST
+        return self._accepting and heard and self.healthy()
+
+    def cordon(self, who: str) -> bool:
+        return self._told("cordon", who, self._facade.cordon(time.monotonic(), who))
+
+    def uncordon(self, who: str) -> bool:
+        return self._told("uncordon", who, self._facade.uncordon(time.monotonic(), who))
+
+    def _told(self, call: str, who: str, orders: Orders | None) -> bool:
+        self._counters.log(f"{call} of {who}" + (": nobody has it" if orders is None else ""))
+        if orders is None:
+            return False
+        self._counters.add(f"{call}s")
+        self._carry_out(orders)
+        self._leave()  # before the yes: the next process is bound by it too
+        return True
+
     def knows(self, job_id: str) -> bool:
         return self._facade.knows(job_id)
 
@@ -89,6 +129,8 @@
         """Take a job; its answer goes to the session, perhaps at once."""
         self._waiting[job.id] = session, task
         self._brought(session)
+        if self._ends_at < math.inf:  # it is answered while this process still is
+            job.budget = min(job.budget, max(self._ends_at - arrived, 0.02))
         self._carry_out(self._facade.pick(arrived, job))
 
     def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
@@ -185,6 +227,7 @@
             self._carry_out(self._facade.probed(now, node, outcome, now - began, load))
 
     def _listed(self, news: MachineList) -> None:
+        self._listed_at = time.time()
         self._carry_out(self._facade.listed(time.monotonic(), news))
 
     def _list_failed(self) -> None:
@@ -262,14 +305,23 @@
         signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
         for number in _SIGNALS:
             loop.add_signal_handler(number, signals.put_nowait, number)
-        settings = self._config.settings
         async with asyncio.TaskGroup() as self._tasks:
-            self._carry_out(self._facade.listed(time.monotonic(), self._config.known, cached=True))
+            known = self._config.known
+            found = self._take_over() if self._left is not None else None
+            if found is not None and found.version >= known.version:
+                known = found
+            self._discovery.version = known.version
+            self._carry_out(self._facade.listed(time.monotonic(), known, cached=True))
+            if self._left is not None:
+                self._spawn("sync", self._sync)
+            if self._config.mgmt is not None:
+                self._spawn("management", self._manage, self._config.mgmt)
             server = await loop.create_server(
-                lambda: Session(self, settings, self._counters),
-                sock=http.bind(self._config.listen),
+                lambda: Session(self, self._counters),
+                sock=http.bind(self._config.listen, self._config.listen_fd),
                 backlog=_BACKLOG,
             )
+            self._accepting = True
             self._audit = Audit(
                 lambda: self._pool.connections.books,
                 self._pool.connections.strike,
@@ -290,39 +342,110 @@
                 task.cancel()
         self._dump()
 
+    async def _manage(self, address: tuple[str, int]) -> None:
+        """Listen for operators; an address that cannot be had now may come free."""
+        while True:
+            try:
+                await self._management.listen(address)
+                return
+            except OSError as error:
+                self._counters.add("mgmt_binds_failed")
+                self._counters.log(f"cannot listen for operators: {error}", "warning")
+                await asyncio.sleep(0.5)
+
     def _reload(self) -> None:
-        """The configuration file was replaced: discovery may have moved. One that cannot be read changes
-        nothing."""
+        """The configuration file was replaced: settings and discovery change together, or, where anything
+        is wrong with the file, nothing does."""
         try:
-            address = reload_discovery(os.environ)
+            config = reload_config(os.environ, self._config)
         except ConfigError as error:
             self._counters.add("reloads_failed")
-            self._counters.log(f"the configuration stays as it was: {error}")
+            self._counters.log(f"the configuration stays as it was: {error}", "warning")
             return
+        settings = config.settings
+        self._facade.reconfigure(settings)
+        self._pool.reconfigure(settings.limits.connect_timeout, settings.limits.keepalive)
+        self._config, self.settings = config, settings
         self._counters.add("reloads")
-        self._spawn("move", self._discovery.move, address)
+        self._counters.log(f"a new configuration: classes {', '.join(cls.name for cls in settings.classes)}")
+        self._spawn("move", self._discovery.move, config.discovery)
 
     async def _end(self, server: asyncio.Server) -> None:
         self._counters.log("stopping")
-        await asyncio.sleep(_ACCEPT_ON)
-        self.closing = True
-        # What the system has accepted already is ours: the loop takes it before the listener goes.
-        await asyncio.sleep(0.01)
+        longest = max(cls.deadline for cls in self.settings.classes)
+        killed = time.monotonic() + min(longest, _KILLED[0]) + _KILLED[1]
+        shared = self._config.listen_fd >= 0
+        if shared:
+            # Another process accepts already. What has come to this one it serves, and no connection is
+            # closed on a submitter that may be writing: each ends with its next answer, or as idle.
+            self._ends_at = killed - _LAST
+        else:
+            await asyncio.sleep(_ACCEPT_ON)
+        self.closing, self._accepting = True, False
+        if not shared:
+            # What the system has accepted already is ours: the loop takes it before the listener goes.
+            await asyncio.sleep(0.01)
         server.close()
         # A message that is only half here is not owed an answer; it may still become whole for a moment.
         patience = time.monotonic() + _HALF_READ
-        while self._sessions and (self._anything_owed() or time.monotonic() < patience):
-            for session in list(self._sessions):
-                if session.idle():
-                    session.close()
+        while self._sessions and time.monotonic() < self._ends_at:
+            if not shared:
+                if not self._anything_owed() and time.monotonic() >= patience:
+                    break
+                for session in list(self._sessions):
+                    if session.idle():
+                        session.close()
             await asyncio.sleep(0.02)
         for session in list(self._sessions):
             session.close()
+        self._management.close()
+
+    # --- what one process leaves for the next -----------------------------------------------------------
+
+    def _take_over(self) -> MachineList | None:
+        """Take in what other processes of this sidecar were told; the machine list that they had."""
+        assert self._left is not None
+        try:
+            found = self._left.read(time.time())
+        except (HandoverError, OSError) as error:
+            self._counters.add("handovers_unread")
+            self._counters.log(f"nothing is taken over from the process before: {error}", "warning")
+            return None
+        if found is None:
+            return None
+        self._carry_out(self._facade.merge(time.monotonic(), found.marks))
+        if self._facade.cordons.lacks(found.marks):
+            self._left_at = -math.inf
+        return found.known
+
+    def _leave(self) -> None:
+        """Leave what this process knows."""
+        if self._left is None:
+            return
+        now = time.time()
+        known = MachineList(self._discovery.version, True, self._facade.machines())
+        try:
+            self._left.write(handover.encode(now, self._facade.cordons.marks(), known, self._listed_at))
+            self._left_at = now
+        except OSError as error:
+            self._counters.add("handovers_unwritten")
+            self._counters.log(f"nothing can be left for the next process: {error}", "warning")
+
+    async def _sync(self) -> None:
+        assert self._left is not None
+        while True:
+            await asyncio.sleep(_SYNC)
+            if self._left.changed():
+                self._take_over()
+            now = time.time()
+            if (self._left_at < self._listed_at and now - self._left_at > _LEAVE) or self._left_at < 0.0:
+                self._leave()
 
     def _others(self) -> dict[int, str]:
         """The descriptors in use that are no connection to an execute node."""
         known = {session.fd: "submitter" for session in self._sessions}
         known.update(dict.fromkeys(self._discovery.descriptors(), "discovery"))
+        known.update(dict.fromkeys(self._management.descriptors(), "operator"))
         return known
 
     def _anything_owed(self) -> bool:
@@ -333,6 +456,7 @@
         self._counters.dump(
             owed=self._facade.owed,
             module_faults=self._facade.faults,
+            cordoned=len(self._facade.cordons.out(time.time())),
             submitter_connections_open=len(self._sessions),
             node_connections_open=self._pool.open,
             claims_waiting=self._pool.connections.waiting(),
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -61,6 +61,7 @@
     """What the submitter side needs of the sidecar."""
 
     closing: bool
+    settings: Settings  # those in force
 
     def healthy(self) -> bool: ...
 
@@ -136,12 +137,12 @@
 
     __slots__ = (
         "_counters", "_desk", "_head_size", "_headers", "_in_head", "_job", "_keep", "_parser", "_passed",
-        "_queue", "_reading", "_settings", "_since", "_size", "_target", "_transport", "_trouble", "_working",
+        "_queue", "_reading", "_since", "_size", "_target", "_transport", "_trouble", "_working",
         "busy", "ended", "fd", "heard", "job_id",
     )  # fmt: skip
 
-    def __init__(self, desk: Desk, settings: Settings, counters: Counters) -> None:
-        self._desk, self._settings, self._counters = desk, settings, counters
+    def __init__(self, desk: Desk, counters: Counters) -> None:
+        self._desk, self._counters = desk, counters
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport
         self.fd = -1
@@ -305,7 +306,7 @@
             raise MalformedError(400, "no other protocol is spoken here")
         if self._target != b"/_health":
             # Refused from the head, with the body unread: what is no job costs no more than that.
-            self._job = read_job(parser.get_method(), self._target, self._headers, self._settings)
+            self._job = read_job(parser.get_method(), self._target, self._headers, self._desk.settings)
         if self._headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -158,16 +158,32 @@
     return {"index": index, "snapshot": whole, "endpoints": list(entries)}
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
+_ids = iter(range(10**9))
+
+
+OPERATORS = "127.0.0.2"  # of the second address: its free ports are never those of the first
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    with socket.create_server((host, 0)) as server:
         return int(server.getsockname()[1])
 
 
 class Program:
     """The program, started as ``run`` starts it."""
 
-    def __init__(self, tmp: Path, known: dict[str, Any], discovery: int, sockets: int) -> None:
-        self.port = free_port()
+    def __init__(
+        self,
+        tmp: Path,
+        known: dict[str, Any],
+        discovery: int,
+        sockets: int,
+        listener: socket.socket | None = None,
+        **more: str,
+    ) -> None:
+        """``listener`` is the platform's own, inherited as descriptor 7; ``more`` goes to the environment."""
+        self.port = listener.getsockname()[1] if listener else free_port()
+        self.mgmt = int(more.get("BALANCER_MGMT", ":0").rpartition(":")[2])
         config = self.config = tmp / "config.json"
         data = {
             "name": "n0",
@@ -179,14 +195,33 @@
             "settings": SETTINGS,
         }
         config.write_text(json.dumps(data))
-        self.log = tmp / "log"
+        self.log = tmp / f"log-{next(_ids)}"
+        command = [sys.executable, "-B", "-m", "indigokeel"]
+        if listener is not None:  # as the platform hands it on, whatever its number is here
+            command = ["/bin/bash", "-c", f'exec "$0" "$@" 7<&{listener.fileno()}', *command]
+            more["BALANCER_LISTEN_FD"] = "7"
         self.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "indigokeel"],
+            command,
             cwd=ROOT,
-            env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(config)},
+            env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(config), **more},
             stderr=self.log.open("wb"),
+            pass_fds=[listener.fileno()] if listener else [],
         )
-        until(lambda: self.process.poll() is not None or self.ready())
+        if self.mgmt:
+            until(lambda: self.process.poll() is not None or self.call("GET", "health") == 200)
+        else:
+            until(lambda: self.process.poll() is not None or self.ready())
+
+    def call(self, method: str, what: str, who: str = "") -> int:
+        """Make an operator's call; its status, or 0 where nobody listens."""
+        body = json.dumps({"who": who}) if who else ""
+        head = f"{method} /admin/{what} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
+        try:
+            with socket.create_connection((OPERATORS, self.mgmt), timeout=WAIT) as conn:
+                conn.sendall((head + body).encode())
+                return read_answer(conn.makefile("rb"))[0]
+        except ConnectionError:
+            return 0
 
     def ready(self) -> bool:
         try:
@@ -222,9 +257,6 @@
     return int(message.line.split(" ")[1]), message
 
 
-_ids = iter(range(10**9))
-
-
 def job(
     name: str = "view", body: bytes | None = None, wait_ms: int = 5000, more: str = "", key: str = "k1"
 ) -> bytes:
@@ -241,13 +273,13 @@
 
 @contextlib.contextmanager
 def running(
-    tmp: Path, *scripts: Callable[[Message], bytes | None], sockets: int = 256
+    tmp: Path, *scripts: Callable[[Message], bytes | None], sockets: int = 256, **more: Any
 ) -> Iterator[tuple[Program, list[Peer], Discovery]]:
     """A program with execute nodes n0, n1 ... of one cell, each doing what its script says."""
     nodes = [Peer(script) for script in scripts]
     discovery = Discovery()
     known = machine_list(*(entry(f"s-{i}", node.port) for i, node in enumerate(nodes)))
-    program = Program(tmp, known, discovery.port, sockets)
+    program = Program(tmp, known, discovery.port, sockets, **more)
     try:
         yield program, nodes, discovery
     finally:
--- /dev/null
+++ b/tests/test_cordons.py
@@ -0,0 +1,179 @@
+"""The operators' layer over the machine list, and what one process leaves for the next. No I/O."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from indigokeel import handover
+from indigokeel.cordons import Cordons, Mark
+from indigokeel.decision.interface import State
+from indigokeel.facade import Facade, Job, Orders, Outcome
+from indigokeel.handover import HandoverError
+from indigokeel.machine_list import Machine, MachineList
+from tests.conftest import make_settings
+
+NOW = 1_000_000.0
+NODES = tuple(Machine(f"s-{i}", "127.0.0.1", 1000 + i, cell=1) for i in range(3))
+
+
+def _facade() -> Facade:
+    facade = Facade(make_settings(), 1, 0.0)
+    facade.listed(NOW, MachineList(1, True, NODES), cached=True)
+    return facade
+
+
+def _sent(facade: Facade, now: float, count: int = 60) -> set[str]:
+    """Where some jobs went."""
+    nodes = set()
+    for number in range(count):
+        orders = facade.pick(now, Job(f"{now}-{number}", "view", 1.0))
+        nodes |= {claim.node for claim in orders.claims}
+        facade.report(now, orders.claims[0], Outcome.SERVED)
+    return nodes
+
+
+def test_cordoned_node_stays_out_whatever_lists_say() -> None:
+    facade = _facade()
+    orders = facade.cordon(NOW, "s-1")
+    assert orders is not None and orders.close_idle == ["s-1"]
+    assert facade.cordon(NOW, "s-1") is not None  # two calls out ...
+    moved = replace(NODES[1], port=2000, since=NOW + 1.0)
+    for news in (
+        MachineList(2, True, NODES),
+        MachineList(3, False, (moved,)),
+        MachineList(4, False, (replace(NODES[1], state=State.GONE),)),
+        MachineList(5, False, (moved,)),
+    ):
+        facade.listed(NOW + 1.0, news)
+        assert facade.address("s-1") is None
+    assert _sent(facade, NOW + 1.0) == {"s-0", "s-2"}
+    assert facade.uncordon(NOW + 2.0, "s-1") is not None  # ... need one back
+    assert facade.address("s-1") == ("127.0.0.1", 2000)
+    assert _sent(facade, NOW + 2.0) == {"s-0", "s-1", "s-2"}
+
+
+def test_claim_picked_before_the_cordon_is_not_begun_after_it() -> None:
+    facade = _facade()
+    claim = facade.pick(NOW, Job("j", "view", 1.0)).claims[0]
+    facade.cordon(NOW, claim.node)
+    assert not facade.begin(NOW, claim)
+
+
+def test_ids_that_nobody_has_get_a_no_and_vanished_ones_a_yes() -> None:
+    facade = _facade()
+    assert facade.cordon(NOW, "s-9") is None and facade.uncordon(NOW, "s-9") is None
+    facade.cordon(NOW, "s-0")
+    facade.listed(NOW, MachineList(2, True, NODES[1:]))
+    assert facade.uncordon(NOW, "s-0") is not None
+    # Back in the list it serves: the mark does not come alive again.
+    facade.listed(NOW, MachineList(3, True, NODES))
+    assert facade.address("s-0") is not None
+
+
+def test_node_given_back_is_cold_and_warms_up() -> None:
+    cordons = Cordons()
+    cordons.cordon("s-0", NOW)
+    cordons.uncordon("s-0", NOW + 3.0)
+    assert cordons.lay(NODES[0], NOW + 4.0).since == NOW + 3.0
+    late = replace(NODES[0], since=NOW + 9.0)
+    assert cordons.lay(late, NOW + 10.0) == late
+
+
+def test_mark_with_an_end_ends_by_itself() -> None:
+    facade = _facade()
+    orders = facade.merge(NOW, [Mark("s-0", True, NOW, "release", NOW + 5.0)])
+    assert isinstance(orders, Orders) and facade.address("s-0") is None
+    assert facade.due() == NOW + 5.0
+    facade.tick(NOW + 5.0)
+    assert facade.address("s-0") is not None
+
+
+_marks = st.lists(
+    st.builds(Mark, st.sampled_from(["a", "b"]), st.booleans(), st.sampled_from([1.0, 2.0, 3.0])), max_size=8
+)
+
+
+@given(_marks, _marks)
+def test_processes_agree_once_they_have_exchanged_their_marks(left: list[Mark], right: list[Mark]) -> None:
+    one, two = Cordons(), Cordons()
+    one.merge(left)
+    two.merge(right)
+    one.merge(two.marks())
+    assert one.lacks(two.marks()) == ({m.who: m for m in one.marks()} != {m.who: m for m in two.marks()})
+    two.merge(one.marks())
+    assert not two.lacks(one.marks())
+    assert {m.who: m for m in one.marks()} == {m.who: m for m in two.marks()}
+    assert one.merge(two.marks()) == []
+
+
+def test_later_call_wins_though_the_clock_went_back() -> None:
+    one, two = Cordons(), Cordons()
+    one.cordon("s", 100.0)
+    two.merge(one.marks())
+    two.uncordon("s", 50.0)
+    one.merge(two.marks())
+    assert not one.holds("s", 100.0)
+
+
+LEFT = handover.encode(NOW, [Mark("s-0", True, NOW - 1.0)], MachineList(7, True, NODES), NOW - 2.0)
+
+
+def test_handover_comes_back_as_it_was() -> None:
+    found = handover.decode(LEFT, NOW)
+    assert found == handover.Handover((Mark("s-0", True, NOW - 1.0),), MachineList(7, True, NODES), NOW - 2.0)
+    old = handover.encode(NOW, [Mark("a", False, NOW - 700.0), Mark("b", True, NOW - 700.0)])
+    assert [mark.who for mark in handover.decode(old, NOW).marks] == ["b"]
+
+
+def _forged(body: bytes, version: int = 1) -> bytes:
+    return (
+        b"indigokeel-handover %d %d %s\n"
+        % (
+            version,
+            len(body),
+            hashlib.sha256(body).hexdigest().encode(),
+        )
+        + body
+    )
+
+
+_MARK = b'{"marks":[{"who":"a","out":true,"at":%s,"by":"x","until":null}]}'
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\n",
+        LEFT[:-1],
+        LEFT + b"x",
+        LEFT.replace(b"s-0", b"s-9", 1),
+        LEFT.replace(b"handover 1", b"handover 2", 1),
+        b"#!/bin/sh\n",
+        b"x" * (handover.MOST + 1),
+        _forged(b"[]"),
+        _forged(b"{}"),
+        _forged(b'{"marks":[{}]}'),
+        _forged(_MARK % b'"soon"'),
+        _forged(_MARK % b"1e300"),
+        _forged(_MARK % b"-1"),
+        _forged(b'{"marks":[],"machines":[[1]],"version":1,"listed_at":1}'),
+        _forged(b'{"marks":[],"machines":[["a","h",99999,"","",1,"serving",1,1]],"version":1,"listed_at":1}'),
+        _forged(b'{"marks":[],"machines":[["a","h",1,"","",1,"odd",1,1]],"version":1,"listed_at":1}'),
+        _forged(b'{"marks":[],"machines":[],"version":1,"listed_at":%d}' % (NOW + 60.0)),
+        _forged(b"[" * 100_000),
+    ],
+)
+def test_handover_that_is_not_sound_is_refused(data: bytes) -> None:
+    with pytest.raises(HandoverError):
+        handover.decode(data, NOW)
+
+
+def test_forged_handover_of_the_right_shape_is_read() -> None:
+    assert handover.decode(_forged(_MARK % b"1"), NOW).marks == (Mark("a", True, 1.0, "x", math.inf),)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -124,6 +124,7 @@
     """A sidecar that is behind and turns every job away."""
 
     closing, behind = False, True
+    settings = decode_settings(peers.SETTINGS)
     asked = 0
 
     def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
@@ -179,9 +180,7 @@
         desk = LateDesk()
         near, far = socket.socketpair()
         near.setblocking(False)
-        await asyncio.get_running_loop().create_connection(
-            lambda: Session(desk, decode_settings(peers.SETTINGS), Counters("t")), sock=near
-        )
+        await asyncio.get_running_loop().create_connection(lambda: Session(desk, Counters("t")), sock=near)
         far.sendall(sent)
         for _ in range(5):
             await asyncio.sleep(0.002)
