Keep the audit of descriptors off the operators' listener

Descriptor 24 is the listener of the second address: it is made in a task after the audit took note of the loop's own sockets (`Audit.__init__`, `_own`), and `Sidecar._others` named the calls but not the listener. The repair shuts a socket down, so calls later than 15 s after a start went unheard.

Ruled out: a submitter's connection (those are named until they are lost) and discovery's (named while up).

The listener is named now; and the audit never shuts a socket that listens, for descriptor 7 may be shared.

--- a/indigokeel/net/connections/audit.py
+++ b/indigokeel/net/connections/audit.py
@@ -97,7 +97,9 @@
             if seen + 1 >= _SEEN and now - since >= _STRAY:
                 found.append(Finding("stray", fd, f"socket {inode}"))
                 with contextlib.suppress(OSError), socket.socket(fileno=os.dup(fd)) as double:
-                    double.shutdown(socket.SHUT_RDWR)
+                    # A listener may be shared with other processes: it is told of and left alone.
+                    if not double.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                        double.shutdown(socket.SHUT_RDWR)
         self._suspects = suspects
         self._count("audits")
         for finding in found:
--- a/indigokeel/net/management.py
+++ b/indigokeel/net/management.py
@@ -61,7 +61,9 @@
             next(iter(self.calls)).drop()
 
     def descriptors(self) -> list[int]:
-        return [call.fd for call in self.calls]
+        """Those of the listener and of the calls."""
+        listener = [sock.fileno() for sock in self._server.sockets] if self._server is not None else []
+        return listener + [call.fd for call in self.calls]
 
     def close(self) -> None:
         if self._server is not None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -556,3 +556,14 @@
     world.run(late)
     world.until(lambda: bool(world.ready))
     assert world.ready[0] is not None and not world.counts["connects_failed"]
+
+
+def test_audit_never_shuts_a_listener_that_others_may_share(world: World) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        for _ in range(5):
+            world.run(world.audit.look)
+        world.now += 8.0
+        found = world.run(world.audit.look)
+        assert isinstance(found, list) and [f.kind for f in found] == ["stray"]
+        with socket.create_connection(listener.getsockname(), timeout=5.0):
+            listener.accept()[0].close()
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import os
@@ -18,6 +19,8 @@
 import pytest
 
 from indigokeel.config import ConfigError, load_config, reload_config
+from indigokeel.net.counters import Counters
+from indigokeel.net.management import Management
 from tests.peers import (
     CLASSES,
     OPERATORS,
@@ -412,3 +415,18 @@
             timeout=WAIT,
         )
         assert done.returncode == 1 and b"descriptor 7 is no socket that listens" in done.stderr
+
+
+def test_listener_for_operators_is_in_the_books(tmp_path: Path) -> None:
+    """Guards against the audit that took it for a stray and shut it after 15 s: later calls went unheard."""
+
+    async def play() -> None:
+        room = Management(None, Counters("t"))  # type: ignore[arg-type]
+        address = (OPERATORS, free_port(OPERATORS))
+        await room.listen(address)
+        (found,) = room.descriptors()
+        with socket.socket(fileno=os.dup(found)) as listener:
+            assert listener.getsockname() == address
+        room.close()
+
+    asyncio.run(play())
