--- a/tests/peers.py
+++ b/tests/peers.py
@@ -161,7 +161,8 @@
 _ids = iter(range(10**9))
 
 
-OPERATORS = "127.0.0.2"  # of the second address: its free ports are never those of the first
+# Of the second address: its free ports are never those of the first, nor of another run of the tests.
+OPERATORS = f"127.9.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
 
 
 def free_port(host: str = "127.0.0.1") -> int:
