Pass long bodies on in pieces, with back pressure, in every HTTP/1.1 framing

Causes: the bounds of 64 KiB in submitters.py and exchange.py; a time for a message whatever its size; llhttp leaves the blank behind a value that comes in another piece; an answer without a length was refused though it announced its end (`Connection: close`, ended in order, not by a reset).

Now net/bodies.py carries a long answer (`Stream`) or job (`Upload`) between two connections; each side is read only while the other takes.

--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -70,6 +70,7 @@
     hint: float = 0.0
     repeat: bool = False
     write: bool = False
+    long: bool = False  # its body still comes: its time starts with ``uploaded``
 
 
 @dataclass(slots=True)
@@ -123,11 +124,17 @@
 
 
 class _OpenJob:
-    __slots__ = ("answer_by", "claims", "closed", "entries", "id", "most", "out", "over", "repeat_window")
+    __slots__ = (
+        "answer_by", "claims", "closed", "entries", "id", "long", "most", "out", "over",
+        "repeat_window", "time",
+    )  # fmt: skip
 
-    def __init__(self, job_id: str, answer_by: float, repeat_window: float, most: int) -> None:
+    def __init__(
+        self, job_id: str, answer_by: float, repeat_window: float, most: int, time: float, long: bool
+    ) -> None:
         self.id, self.answer_by, self.repeat_window = job_id, answer_by, repeat_window
         self.most = most  # claims at most
+        self.time, self.long = time, long  # s until the last word on it; whether its body is long
         self.claims: list[_OpenClaim] = []
         self.out = 0  # claims without an ending
         self.over = self.closed = False
@@ -226,17 +233,28 @@
             return orders
         if job.id in self._jobs:
             raise ValueError(f"a job of this id is open: {job.id}")
-        answer_by = now + self._time_for(job)
+        left = self._time_for(job)
+        answer_by = math.inf if job.long else now + left
         window, most = self._windows.get(job.job_class, math.inf), self._limits.max_attempts
-        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, window, most)
+        opened = self._jobs[job.id] = _OpenJob(job.id, answer_by, window, most, left, job.long)
         self.owed += 1
-        self._enter(answer_by, partial(self._expire, opened), opened)
+        if not job.long:
+            self._enter(answer_by, partial(self._expire, opened), opened)
         event = api.RequestArrived(
             job.id, job.job_class, job.budget, job.tenant, job.key, job.hint, job.repeat, job.write
         )
         self._feed(now, event, orders, opened)
         return orders
 
+    def uploaded(self, now: float, job_id: str) -> None:
+        """The last byte of a long job's body has come: its time starts now, its claim's too."""
+        job = self._jobs.get(job_id)
+        if job is not None and not job.over and job.answer_by == math.inf:
+            job.answer_by = now + job.time
+            for claim in job.claims:
+                claim.sent = now
+            self._enter(job.answer_by, partial(self._expire, job), job)
+
     def report(
         self, now: float, claim: Claim, outcome: Outcome, load: dict[str, float] | None = None
     ) -> Orders:
@@ -254,6 +272,8 @@
         if job is not None and not job.over:
             self._over(job)
             self._feed(now, api.ClientLeft(job_id), orders, job)
+            for number in range(len(job.claims) if job.long else 0):
+                self._give_up(now, job, number, orders)
         return orders
 
     def tick(self, now: float) -> Orders:
@@ -410,7 +430,7 @@
             orders.answers.append(Answer(job.id, Verdict.SERVED, claim=number))
         figures = api.Load(**load) if load else None
         event = api.AttemptEnded(
-            job.id, claim.node, number, outcome.ending, now - claim.sent, job.over, figures
+            job.id, claim.node, number, outcome.ending, max(now - claim.sent, 0.0), job.over, figures
         )
         self._feed(now, event, orders, job)
 
@@ -509,6 +529,12 @@
             )
             return
         job.out += 1
+        if job.long:
+            # It ends with its body and then its time. Told that it has started, the module waits for nothing
+            # and sends no other for it: what was passed on is not kept.
+            events.append(api.AnswerStarted(send.id, send.upstream, number))
+            orders.claims.append(Claim(send.id, number, send.upstream, min(now + job.time, job.answer_by)))
+            return
         until = min(now + send.timeout, job.answer_by) if send.timeout > 0.0 else job.answer_by
         if send.timeout < 0.0:
             until = now
--- a/indigokeel/net/connections/link.py
+++ b/indigokeel/net/connections/link.py
@@ -29,9 +29,12 @@
     def heard(self, data: bytes) -> None:
         """Bytes have come."""
 
-    def lost(self, unsent: bool) -> None:
+    def drained(self) -> None:
+        """All that was said has been written, where that took more than the call."""
+
+    def lost(self, unsent: bool, ended: bool) -> None:
         """The connection is gone, by the peer or by a fault; ``unsent``: before all that was said was
-        written. Not called where this side has closed it."""
+        written; ``ended``: the peer has closed it in order. Not called where this side has closed it."""
 
 
 class Owner(Protocol):
@@ -129,13 +132,13 @@
         if self.state is State.OPENING and not self.settle() and self._sock is not None:
             self._down(TimeoutError("no connection in time"))
 
-    def _down(self, error: OSError | None) -> None:
+    def _down(self, error: OSError | None, ended: bool = False) -> None:
         """It is gone, and not by a call of its owner's."""
         unsent, conversation = bool(self._unsent), self.conversation
         self.close()
         try:
             if conversation is not None:
-                conversation.lost(unsent)
+                conversation.lost(unsent, ended)
         except Exception as fault:  # costs this connection and no other
             self._owner.fault(fault)
         finally:
@@ -152,7 +155,7 @@
                 self._down(None)
             return
         if not data or self.conversation is None or self.state is State.IDLE:
-            self._down(None)  # its end, or bytes that nobody asked for
+            self._down(None, not data)  # its end, or bytes that nobody asked for
             return
         try:
             self.conversation.heard(data)
@@ -192,6 +195,23 @@
         if not self._unsent and self._writing:
             self._loop.remove_writer(self.fd)
             self._writing = False
+            try:
+                if self.conversation is not None:
+                    self.conversation.drained()
+            except Exception as fault:
+                self._owner.fault(fault)
+                self._down(None)
+
+    def pause(self) -> None:
+        """Read nothing for now: what the peer sends waits in the system, then at the peer."""
+        if self._reading:
+            self._loop.remove_reader(self.fd)
+            self._reading = False
+
+    def resume(self) -> None:
+        if self._sock is not None and not self._reading and self.state is not State.OPENING:
+            self._loop.add_reader(self.fd, self._readable)
+            self._reading = True
 
     def alive(self) -> bool:
         """Whether an idle connection is up still, with nothing on it that nobody asked for: asked of the
@@ -236,7 +256,7 @@
         conversation = self.conversation
         self.close()
         if conversation is not None:
-            conversation.lost(False)
+            conversation.lost(False, False)
 
 
 def _after(pieces: Sequence[bytes | memoryview], sent: int) -> list[bytes | memoryview]:
--- a/indigokeel/net/exchange.py
+++ b/indigokeel/net/exchange.py
@@ -8,8 +8,10 @@
 
 from indigokeel.facade import Outcome
 from indigokeel.net import http
+from indigokeel.net.bodies import Stream, Upload
 
 _MOST_AHEAD = 16  # 1xx answers before the final one
+_EARLY = 16 * 1024  # bytes of a body without a length, from where it is passed on before its end
 
 
 @dataclass(slots=True)
@@ -23,6 +25,7 @@
     body: http.Body
     has_body: bool
     unsafe: bool = False  # it must never run twice
+    upload: Upload | None = None  # instead of ``body``, where that is long
 
 
 @dataclass(slots=True)
@@ -32,6 +35,7 @@
     outcome: Outcome
     load: dict[str, float] | None = None
     body: http.Body | None = None
+    stream: Stream | None = None  # instead of ``body``, where that is long: it goes on coming
 
 
 class UnsoundError(Exception):
@@ -42,20 +46,21 @@
     """Reads the one answer that is owed on a connection. httptools calls the ``on_`` methods."""
 
     __slots__ = (
-        "_ahead", "_body_at", "_got", "_head", "_keep", "_parser", "_size", "body", "chunked", "clean",
-        "complete", "headers", "length", "status",
+        "_ahead", "_body_at", "_got", "_head", "_keep", "_parser", "_size", "_tail", "_to_the_end", "body",
+        "chunked", "clean", "complete", "headers", "length", "status",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._ahead = 0  # 1xx answers so far
         self._got = self._size = 0  # bytes in all, and of the body
+        self._tail = b""  # the last bytes, of an answer in chunks
         self._head = b""  # the bytes up to the body, while that has not begun
         self._body_at = -1
         self.headers: dict[bytes, bytes] = {}
         self.body: http.Body = []
         self.length = -1
-        self.chunked = self.complete = self._keep = False
+        self.chunked = self.complete = self._keep = self._to_the_end = False
         self.status = 0
         self.clean = False  # complete, with nothing behind it: the connection may serve again
 
@@ -81,8 +86,11 @@
         if self.complete:
             # Guards against the answer that brings more than belongs to it: what is left over would pass
             # for the next job's answer. llhttp skips empty lines, so the bytes are counted.
-            exact = data.endswith(b"0\r\n\r\n") if self.chunked else self._got == self._body_at + self.length
+            tail = (self._tail + data[-5:])[-5:]
+            exact = tail == b"0\r\n\r\n" if self.chunked else self._got == self._body_at + self.length
             self.clean = exact and self._keep
+        elif self.chunked:
+            self._tail = (self._tail + data[-5:])[-5:]
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
@@ -90,7 +98,8 @@
             return
         if name in (b"content-length", b"transfer-encoding") and name in self.headers:
             raise UnsoundError("two lengths")
-        self.headers[name] = value
+        # A coding with a tab behind it is none to llhttp, so it must be none here.
+        self.headers[name] = value.strip(b" " if name == b"transfer-encoding" else b" \t")
 
     def on_headers_complete(self) -> None:
         if self.complete:
@@ -105,23 +114,26 @@
         # An answer says in one way, and one way only, where it ends. Without a length a broken one passes
         # for whole; with two, what follows it may be taken for its body or the other way round.
         length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
-        if (length is None) == (coding is None):
+        # The end of the connection is one too, where the answer announces it; a broken one ends otherwise.
+        last = self.headers.get(b"connection", b"").lower() == b"close"
+        self._to_the_end = length is None and coding is None and last and status == 200
+        if (length is None) == (coding is None) and not self._to_the_end:
             raise UnsoundError("no length, or two")
         if coding is not None and coding.strip().lower() != b"chunked":
             raise UnsoundError("a coding that nobody asked for")
         self.chunked = coding is not None
         if length is not None:
             self.length = int(length)
-            if self.length > http.MAX_BODY:
-                raise UnsoundError("the body is too large")
+        if status != 200 and self.length > http.MAX_BODY:
+            raise UnsoundError("an error at length")
         self.status = status
 
     def on_body(self, data: bytes) -> None:
         if self.complete:
             return
         self._size += len(data)
-        if self._size > http.MAX_BODY:
-            raise UnsoundError("the body is too large")
+        if self._size > http.MAX_BODY and self.status != 200:
+            raise UnsoundError("an error at length")
         self.body.append(data)
 
     def on_message_complete(self) -> None:
@@ -129,6 +141,22 @@
             self.complete = True
             self._keep = self._parser.should_keep_alive()  # known only here
 
+    def long(self) -> bool:
+        """Whether it is a good answer so far, and too long to be read whole."""
+        if self.status != 200 or self.complete or not self.body:
+            return False
+        return self.length > http.MAX_BODY or (self.length < 0 and self._size > _EARLY)
+
+    def ends_here(self) -> bool:
+        """Told that the connection has ended in order: whether that makes it complete."""
+        self.complete = self.complete or (self.status == 200 and self._to_the_end)
+        return self.complete
+
+    def take(self) -> http.Body:
+        """What of the body has come since the last call."""
+        body, self.body = self.body, []
+        return body
+
     def reply(self) -> Reply:
         """What the complete answer means for the claim."""
         report = self.headers.get(b"server-load")
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -18,7 +18,8 @@
 from indigokeel.config import LOAD_FIELDS
 
 MAX_HEAD = 16 * 1024  # bytes of a message's head
-MAX_BODY = 64 * 1024  # bytes of a body, by the protocol
+MAX_BODY = 64 * 1024  # bytes of a body that is read whole; a longer one passes in pieces
+MOST_BODY = 40 << 20  # bytes of a job's body: operators announce 32 MB
 
 Body = list[bytes]  # the pieces of a body as they were read
 
@@ -57,6 +58,19 @@
     return [head + (b"Connection: close\r\n\r\n" if close else b"\r\n"), *body]
 
 
+def head(length: int, close: bool) -> bytes:
+    """The head of an answer that passes in pieces; ``length`` in bytes, -1: in chunks."""
+    framing = b"Content-Length: %d\r\n" % length if length >= 0 else b"Transfer-Encoding: chunked\r\n"
+    return _LINES[200] + framing + (b"Connection: close\r\n\r\n" if close else b"\r\n")
+
+
+def chunk(pieces: Sequence[bytes], last: bool) -> list[bytes]:
+    """Pieces of a body as one chunk; and, after the ``last``, the end."""
+    size = sum(map(len, pieces))
+    framed = [b"%x\r\n" % size, *pieces, b"\r\n"] if size else []
+    return [*framed, b"0\r\n\r\n"] if last else framed
+
+
 def host(address: tuple[str, int]) -> bytes:
     return f"{address[0]}:{address[1]}".encode()
 
--- /dev/null
+++ b/indigokeel/net/jobs.py
@@ -0,0 +1,69 @@
+"""A submitter's message, read as a job. No I/O."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Mapping
+
+from indigokeel.decision.interface import Effect, Settings
+from indigokeel.facade import Job
+from indigokeel.net.exchange import Task
+
+_LONGEST = 3600.0  # s that a submitter may be willing to wait
+
+Headers = Mapping[bytes, bytes]  # names in lower case
+
+
+class MalformedError(Exception):
+    """A message that is no job; ``status`` is what its sender is told."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+def read_job(method: bytes, target: bytes, headers: Headers, settings: Settings) -> tuple[Job, Task]:
+    """Turn a message's head into a job and what of it goes on; raises MalformedError."""
+
+    get = headers.get
+    if method not in (b"GET", b"POST"):
+        raise MalformedError(405, "the method is neither GET nor POST")
+    name = get(b"request-class", b"").decode("latin-1")
+    for cls in settings.classes:
+        if cls.name == name:
+            break
+    else:
+        raise MalformedError(400, "Request-Class is missing or not known")
+    parts = target.split(b"?", 1)[0].decode("latin-1").split("/")
+    if len(parts) < 2 or parts[1] != name:
+        raise MalformedError(404, "the path does not begin with the class")
+    job_id = get(b"request-id", b"").decode("latin-1")
+    if not job_id or len(job_id) > 200 or not job_id.isprintable():
+        raise MalformedError(400, "Request-Id is missing or bad")
+    wait = get(b"request-timeout-ms", b"")
+    if not wait.isdigit() or len(wait) > 9 or int(wait) == 0:
+        raise MalformedError(400, "Request-Timeout-Ms is missing or bad")
+    key = headers.get(b"idempotency-key")
+    if cls.effect is Effect.KEYED and not key:
+        raise MalformedError(400, "Idempotency-Key is missing")
+    extras = {}
+    if b"request-info" in headers:
+        pairs = headers[b"request-info"].decode("latin-1").split(",")
+        extras = dict(pair.strip().split("=", 1) for pair in pairs if "=" in pair)
+    hint = 0.0
+    if extras or b"work-hint" in headers:
+        with contextlib.suppress(ValueError):
+            hint = float(get(b"work-hint", b"").decode("latin-1") or extras.get("hint-s") or 0.0)
+    job = Job(
+        id=job_id,
+        job_class=name,
+        budget=min(int(wait) / 1000.0, _LONGEST),
+        tenant=get(b"tenant", b"").decode("latin-1"),
+        key=parts[-1] if len(parts) > 2 else "",
+        hint=hint if 0.0 <= hint < _LONGEST else 0.0,
+        repeat=headers.get(b"client-retry") == b"1",
+        write=extras.get("mutates") == "1",
+    )
+    framed = b"content-length" in headers or b"transfer-encoding" in headers
+    unsafe = cls.effect is Effect.UNSAFE
+    return job, Task(method, target, headers[b"request-id"], key, [], framed, unsafe)
--- a/indigokeel/net/management.py
+++ b/indigokeel/net/management.py
@@ -126,7 +126,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if len(self._headers) > 100:
             raise CallError(431, "the head is too large")
-        self._headers.setdefault(name.lower(), value)
+        self._headers.setdefault(name.lower(), value.strip(b" \t"))
 
     def on_headers_complete(self) -> None:
         if b"content-length" in self._headers and b"transfer-encoding" in self._headers:
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -8,6 +8,7 @@
 
 from indigokeel.facade import Claim, Facade, Outcome
 from indigokeel.net import http
+from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.connections import Bounds, Connections, Link, Ticket
 from indigokeel.net.counters import Counters
 from indigokeel.net.exchange import Exchange, Reply, Task, UnsoundError
@@ -24,22 +25,45 @@
 class Talk:
     """What is said on one connection: one exchange at a time."""
 
-    __slots__ = ("_done", "_exchange", "_link", "host")
+    __slots__ = ("_begun", "_done", "_exchange", "_link", "_stream", "_upload", "host")
 
     def __init__(self, link: Link) -> None:
         self._link = link
         self.host = http.host(link.address)  # as a head names it
         self._exchange: Exchange | None = None
         self._done: Callable[[Reply, bool], None] | None = None
+        self._begun: Callable[[Reply], None] | None = None
+        self._stream: Stream | None = None
+        self._upload: Upload | None = None
 
-    def ask(self, pieces: list[bytes], done: Callable[[Reply, bool], None]) -> None:
+    def ask(
+        self,
+        pieces: list[bytes],
+        done: Callable[[Reply, bool], None],
+        begun: Callable[[Reply], None] | None = None,
+        upload: Upload | None = None,
+    ) -> None:
         """Write a message and have ``done`` called with what comes of it, and whether the connection is
-        clean after it; never before this returns."""
-        self._exchange, self._done = Exchange(), done
+        clean after it; never before this returns. Where the answer is long, ``begun`` is called with it
+        first, and ``done`` at its end. ``upload`` follows the pieces."""
+        self._exchange, self._done, self._begun = Exchange(), done, begun
+        self._stream, self._upload = None, upload
+        self.write(pieces)
+        if upload is not None:
+            upload.attach(self)
+
+    def write(self, pieces: list[bytes]) -> None:
         if not self._link.say(pieces):
             # Not all of it was written, so it cannot have run.
             asyncio.get_running_loop().call_soon(self._finish, Reply(Outcome.NO_CONNECTION))
 
+    def clear(self) -> bool:
+        return not self._link.spent()
+
+    def drained(self) -> None:
+        if self._upload is not None:
+            self._upload.flush()
+
     def heard(self, data: bytes) -> None:
         exchange = self._exchange
         if exchange is None:
@@ -49,14 +73,29 @@
         except UnsoundError:
             self._finish(Reply(Outcome.BROKEN))
             return
+        if self._stream is None and self._begun is not None and exchange.long():
+            stream = self._stream = Stream(self._link, exchange.length)
+            self._begun(Reply(Outcome.SERVED, exchange.reply().load, None, stream))
+        if self._stream is not None:
+            self._stream.feed(exchange.take())
         if exchange.complete:
             self._finish(exchange.reply(), exchange.clean)
 
-    def lost(self, unsent: bool) -> None:
+    def lost(self, unsent: bool, ended: bool) -> None:
+        if ended and self._exchange is not None and self._exchange.ends_here():
+            self._finish(self._exchange.reply())
+            return
+        unsent = unsent or (self._upload is not None and not self._upload.passed)
         self._finish(Reply(Outcome.NO_CONNECTION if unsent else Outcome.BROKEN))
 
     def _finish(self, reply: Reply, clean: bool = False) -> None:
-        done, self._exchange, self._done = self._done, None, None
+        done, self._exchange, self._done, self._begun = self._done, None, None, None
+        stream, upload, self._stream, self._upload = self._stream, self._upload, None, None
+        if stream is not None:
+            stream.end(reply.outcome is Outcome.SERVED)
+        if upload is not None:
+            clean = clean and upload.passed
+            upload.drop()
         if done is not None:
             done(reply, clean)
 
@@ -144,17 +183,37 @@
         )
         if task.key is not None:
             head += b"Idempotency-Key: %s\r\n" % task.key
-        if task.has_body:
-            head += b"Content-Length: %d\r\n" % sum(map(len, task.body))
+        upload = task.upload
+        if upload is not None and upload.length < 0:
+            head += b"Transfer-Encoding: chunked\r\n"
+        elif task.has_body:
+            head += b"Content-Length: %d\r\n" % (upload.length if upload else sum(map(len, task.body)))
         self._counters.add("claims_sent")
         self._out[claim.job, claim.number] = link
 
+        served = False  # by an answer that is still coming
+
+        def begun(reply: Reply) -> None:
+            nonlocal served
+            served = True
+            self._risk.add(time.monotonic(), age, False)
+            stream = reply.stream
+            assert stream is not None
+            stream.owned(lambda: self.connections.close(link))
+            self._counters.add("answers_begun")
+            self._ended(claim, reply, done)
+            if not stream.taken():
+                stream.abandon()
+
         def finished(reply: Reply, clean: bool) -> None:
-            self._risk.add(time.monotonic(), age, reply.outcome is Outcome.BROKEN)
+            if not served:
+                self._risk.add(time.monotonic(), age, reply.outcome is Outcome.BROKEN)
             self.connections.give_back(link, clean and self._facade.address(claim.node) == link.address)
-            self._ended(claim, reply, done)
+            if not served:
+                self._ended(claim, reply, done)
 
-        talk.ask([head + b"\r\n", *task.body] if task.has_body else [head + b"\r\n"], finished)
+        body = task.body if task.has_body and upload is None else []
+        talk.ask([head + b"\r\n", *body], finished, begun, upload)
 
     def _end_soon(self, claim: Claim, reply: Reply, done: Done) -> None:
         self._out[claim.job, claim.number] = asyncio.get_running_loop().call_soon(
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -133,6 +133,10 @@
             job.budget = min(job.budget, max(self._ends_at - arrived, 0.02))
         self._carry_out(self._facade.pick(arrived, job))
 
+    def uploaded(self, job_id: str) -> None:
+        self._facade.uploaded(time.monotonic(), job_id)
+        self._wind()
+
     def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
         wait = self._facade.turn_away(arrived, job_class, budget)
         if wait is not None:
@@ -198,8 +202,8 @@
             self._counters.add("jobs_" + answer.verdict.value)
             waiting = self._waiting.pop(answer.job, None)
             if waiting is not None:
-                body = reply.body if reply is not None and answer.verdict is Verdict.SERVED else None
-                waiting[0].answer(Final(answer.verdict, answer.retry_in, body))
+                served = reply if answer.verdict is Verdict.SERVED else None
+                waiting[0].answer(Final(answer.verdict, answer.retry_in, served))
         for node in orders.probes:
             self._spawn("probe", self._probe, node)
         for node in orders.close_idle:
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,407 @@
+"""Long bodies, in pieces, both ways: on real sockets, and the parts between them without I/O."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from indigokeel.net import http
+from indigokeel.net.bodies import Stream, Upload
+from indigokeel.net.exchange import Exchange, UnsoundError
+from tests.peers import WAIT, Message, Peer, Program, job, ok, read_answer, running, until
+
+LONG = os.urandom(1 << 20)
+
+
+def echo(message: Message) -> bytes:
+    return ok(message.body or b"none")
+
+
+def chunked(body: bytes, size: int) -> bytes:
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    return b"".join(b"%x;ext=1\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\nTrailer: x\r\n\r\n"
+
+
+def read_body(file: Any) -> tuple[int, dict[str, str], bytes]:
+    """Read an answer in either framing."""
+    code = int(file.readline().split(b" ")[1])
+    headers = {}
+    while (row := file.readline().strip()) != b"":
+        name, _, value = row.partition(b":")
+        headers[name.decode().lower()] = value.strip().decode()
+    if "transfer-encoding" not in headers:
+        return code, headers, file.read(int(headers["content-length"]))
+    body = b""
+    while size := int(file.readline(), 16):
+        body += file.read(size)
+        assert file.read(2) == b"\r\n"
+    assert file.readline() == b"\r\n"
+    return code, headers, body
+
+
+def rss(program: Program) -> int:
+    """Resident kilobytes of the process."""
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    return int(status.partition("VmRSS:")[2].split()[0])
+
+
+class Raw(Peer):
+    """An execute node that reads heads itself, so that long bodies in any framing can be looked at."""
+
+    def __init__(self, talk: Callable[[socket.socket, Any], None]) -> None:
+        self.talk = talk
+        super().__init__(lambda message: None)
+
+    def _talk(self, conn: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError), conn, conn.makefile("rb") as file:
+            self.talk(conn, file)
+
+
+@contextlib.contextmanager
+def beside(tmp: Path, talk: Callable[[socket.socket, Any], None]) -> Iterator[Program]:
+    """A program whose one node does ``talk`` with each of its connections."""
+    from tests.peers import Discovery, entry, machine_list
+
+    node, discovery = Raw(talk), Discovery()
+    program = Program(tmp, machine_list(entry("s-0", node.port)), discovery.port, 256)
+    try:
+        yield program
+    finally:
+        program.process.kill()
+        program.process.wait()
+        node.close()
+        discovery.close()
+
+
+# --- answers ----------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ok(LONG),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked \r\n\r\n" + chunked(LONG, 7000),
+        b"!HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LONG,
+        b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1048576 \r\n\r\n" + LONG,
+    ],
+)
+def test_long_answer_passes_whole_and_the_connection_serves_on(tmp_path: Path, answer: bytes) -> None:
+    with running(tmp_path, lambda _: answer) as (program, _, _d), program.connect() as conn:
+        file = conn.makefile("rb")
+        for _ in range(3):
+            conn.sendall(job())
+            code, _headers, body = read_body(file)
+            assert code == 200 and body == LONG
+        counters = program.counters()
+        assert (counters["jobs_served"], counters["answers_begun"], counters["owed"]) == (3, 3, 0)
+
+
+def test_short_answer_to_the_end_of_its_connection_is_whole(tmp_path: Path) -> None:
+    answer = b"!HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end"
+    with running(tmp_path, lambda _: answer) as (program, _, _d):
+        assert program.ask(job("pay", b"x"))[1].body == b"to the end"
+
+
+def test_long_answer_that_breaks_off_shows_it_and_is_not_made_again(tmp_path: Path) -> None:
+    with running(tmp_path, lambda _: b"!" + ok(LONG)[:-9]) as (program, nodes, _):
+        with program.connect() as conn:
+            conn.sendall(job())
+            file = conn.makefile("rb")
+            code, headers, body = read_body(file)
+            assert code == 200 and len(body) < int(headers["content-length"]) == len(LONG)
+        assert len(nodes[0].got) == 1 and program.counters()["answers_cut_off"] == 1
+
+
+def test_32_mb_to_a_slow_reader_take_no_memory(tmp_path: Path) -> None:
+    size, block = 32 << 20, os.urandom(1 << 20)
+
+    def talk(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(32):
+            conn.sendall(block)
+
+    with beside(tmp_path, talk) as program:
+        assert program.counters()["owed"] == 0
+        before, most, got = rss(program), 0, 0
+        with program.connect() as conn:
+            conn.sendall(job())
+            file = conn.makefile("rb")
+            while file.readline().strip():
+                pass
+            time.sleep(0.3)  # reads nothing for a while: what was sent waits at the node
+            while got < size:
+                data = file.read(min(1 << 20, size - got))
+                assert data == block[: len(data)]
+                got += len(data)
+                most = max(most, rss(program))
+        until(lambda: program.counters()["node_connections_open"] <= 1)
+        assert most - before < 4096 and rss(program) - before < 4096  # kB
+
+
+def test_submitter_that_leaves_within_a_long_answer_ends_it_at_the_node(tmp_path: Path) -> None:
+    ended = threading.Event()
+
+    def talk(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        try:
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (1 << 30))
+            while True:
+                conn.sendall(LONG)
+        except OSError:
+            ended.set()
+
+    with beside(tmp_path, talk) as program:
+        with program.connect() as conn:
+            conn.sendall(job())
+            assert conn.recv(1000)
+        assert ended.wait(WAIT)
+        until(lambda: program.counters()["node_connections_open"] == 0)
+
+
+def test_sigterm_within_a_long_answer_lets_it_come_to_its_end(tmp_path: Path) -> None:
+    go = threading.Event()
+
+    def talk(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG[:100_000])
+        assert go.wait(WAIT)
+        conn.sendall(LONG[100_000:])
+
+    with beside(tmp_path, talk) as program, program.connect() as conn:
+        conn.sendall(job())
+        file = conn.makefile("rb")
+        first = file.readline()
+        program.process.send_signal(signal.SIGTERM)
+        until(lambda: "stopping" in program.log.read_text())
+        go.set()
+        while file.readline().strip():
+            pass
+        assert first.startswith(b"HTTP/1.1 200") and file.read(len(LONG)) == LONG
+        assert program.process.wait(WAIT) == 0
+
+
+# --- jobs -------------------------------------------------------------------------------------------------
+
+
+def _post(body: bytes, framing: str) -> bytes:
+    head = job("pay", b"").replace(b"Content-Length: 0\r\n", framing.encode())
+    return head + body
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        _post(LONG, f"Content-Length:  {len(LONG)} \r\n"),
+        _post(chunked(LONG, 9000), "Transfer-Encoding: chunked\r\n"),
+        _post(chunked(LONG, 300_000), "Transfer-Encoding:chunked \r\nExpect: 100-continue\r\n"),
+    ],
+)
+@pytest.mark.parametrize("slow", [False, True])
+def test_long_job_passes_whole_once(tmp_path: Path, raw: bytes, slow: bool) -> None:
+    bodies: list[bytes] = []
+
+    def talk(conn: socket.socket, file: Any) -> None:
+        while (line := file.readline()) != b"":
+            headers = {}
+            while (row := file.readline().strip()) != b"":
+                name, _, value = row.partition(b":")
+                headers[name.lower()] = value.strip()
+            if b"content-length" in headers:
+                body = file.read(int(headers[b"content-length"]))
+            else:
+                body = b""
+                while size := int(file.readline(), 16):
+                    body += file.read(size)
+                    file.readline()
+                file.readline()
+            assert line.startswith(b"POST /pay/")
+            bodies.append(body)
+            conn.sendall(ok(b"took %d" % len(body)))
+
+    with beside(tmp_path, talk) as program, program.connect() as conn:
+        file = conn.makefile("rb")
+        for number in (1, 2):
+            raw = raw.replace(b"Request-Id: ", b"Request-Id: %d" % number, 1)
+            if slow:
+                head = raw.index(b"\r\n\r\n") + 4
+                conn.sendall(raw[:head])
+                for at in range(head, len(raw), 1 << 17):
+                    conn.sendall(raw[at : at + (1 << 17)])
+                    time.sleep(0.002)
+            else:
+                conn.sendall(raw)
+            line = file.readline()
+            if line.startswith(b"HTTP/1.1 100"):
+                assert file.readline() == b"\r\n"
+                line = file.readline()
+            assert line.startswith(b"HTTP/1.1 200")
+            while file.readline().strip():
+                pass
+            assert file.read(len(b"took %d" % len(LONG))) == b"took %d" % len(LONG)
+        assert bodies == [LONG, LONG]
+        assert program.counters()["owed"] == 0
+
+
+def test_time_of_a_long_job_starts_at_its_last_byte(tmp_path: Path) -> None:
+    """Sent for longer than its submitter will wait for the answer, and served."""
+    with running(tmp_path, echo) as (program, _, _d), program.connect() as conn:
+        raw = job("pay", LONG, wait_ms=300)
+        conn.sendall(raw[:200_000])
+        time.sleep(0.5)
+        conn.sendall(raw[200_000:])
+        assert read_body(conn.makefile("rb"))[2] == LONG
+
+
+def test_long_job_that_breaks_off_is_no_job_at_the_node(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, nodes, _):
+        with program.connect() as conn:
+            conn.sendall(job("pay", LONG)[:-9])
+            until(lambda: program.counters()["jobs_taken"] == 1)
+        until(lambda: program.counters()["owed"] == 0)
+        until(lambda: program.counters()["node_connections_open"] == 0)
+        assert all(len(message.body) <= len(LONG) - 9 for message in nodes[0].got)
+
+
+def test_long_job_that_no_node_takes_is_answered_at_once_and_read_to_its_end(tmp_path: Path) -> None:
+    closed = socket.create_server(("127.0.0.1", 0))
+    port = closed.getsockname()[1]
+    closed.close()
+    from tests.peers import Discovery, entry, machine_list
+
+    discovery = Discovery()
+    program = Program(tmp_path, machine_list(entry("s-0", port)), discovery.port, 256)
+    try:
+        with program.connect() as conn:
+            file = conn.makefile("rb")
+            raw = job("pay", LONG)
+            conn.sendall(raw[:300_000])
+            code, headers, _ = read_body(file)  # before the rest is sent
+            assert code == 503 and "retry-after" in headers
+            conn.sendall(raw[300_000:])
+            conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert read_answer(file)[0] == 200
+    finally:
+        program.process.kill()
+        program.process.wait()
+        discovery.close()
+
+
+def test_long_job_behind_another_waits_its_turn(tmp_path: Path) -> None:
+    go = threading.Event()
+
+    def node(message: Message) -> bytes:
+        if message.body == b"first":
+            assert go.wait(WAIT)
+        return echo(message)
+
+    with running(tmp_path, node) as (program, _, _d), program.connect() as conn:
+        sender = threading.Thread(target=conn.sendall, args=(job("pay", b"first") + job("pay", LONG),))
+        sender.start()
+        until(lambda: program.counters()["jobs_taken"] == 1)
+        go.set()
+        file = conn.makefile("rb")
+        assert read_body(file)[2] == b"first"
+        code, _headers, body = read_body(file)
+        assert (code, body) == (200, LONG)
+        sender.join()
+
+
+# --- the parts between, without I/O -----------------------------------------------------------------------
+
+
+class Side:
+    """Both ends: a source that can be told to wait, a sink that can be full, a reader."""
+
+    def __init__(self) -> None:
+        self.paused, self.full, self.written, self.ended = False, False, b"", ""
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+
+    def clear(self) -> bool:
+        return not self.full
+
+    def write(self, pieces: list[bytes]) -> None:
+        self.written += b"".join(pieces)
+
+    def body(self, pieces: list[bytes]) -> None:
+        self.write(pieces)
+
+    def body_ended(self, whole: bool) -> None:
+        self.ended = "whole" if whole else "broken"
+
+
+def test_upload_holds_its_source_while_its_sink_is_full() -> None:
+    source, sink = Side(), Side()
+    upload = Upload(source, -1, [b"ab"])
+    upload.attach(sink)
+    sink.full = True
+    upload.add(b"x" * (64 * 1024))
+    assert sink.written == b"2\r\nab\r\n" and not source.paused
+    upload.add(b"y")
+    assert source.paused
+    sink.full = False
+    upload.flush()
+    assert not source.paused and not upload.passed
+    upload.end()
+    assert upload.passed and sink.written.endswith(b"y\r\n0\r\n\r\n")
+
+
+def test_upload_that_nobody_wants_is_thrown_away() -> None:
+    source = Side()
+    upload = Upload(source, 1 << 20, [])
+    upload.add(b"x" * 70_000)
+    assert source.paused
+    upload.drop()
+    assert not source.paused
+    upload.add(b"x" * 70_000)
+    assert not source.paused and upload.all() == []
+
+
+def test_stream_leaves_its_source_reading_once_it_is_over() -> None:
+    source, reader = Side(), Side()
+    stream = Stream(source, 5)
+    stream.attach(reader)
+    stream.feed([b"he", b"llo"])
+    stream.wait()
+    assert source.paused
+    stream.end(True)
+    stream.wait()
+    assert not source.paused and (reader.written, reader.ended) == (b"hello", "whole")
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 100, 5000])
+def test_exchange_reads_chunks_cut_anywhere_and_knows_that_it_is_clean(size: int) -> None:
+    raw = b"HTTP/1.1 200 OK \r\nServer-Load:  util=0.5 \r\nTransfer-Encoding: \t chunked \r\n\r\n"
+    raw += b"".join(http.chunk([LONG[:3000]], False)) + b"0\r\n\r\n"
+    exchange = Exchange()
+    for at in range(0, len(raw), size):
+        exchange.feed(raw[at : at + size])
+    assert exchange.complete and exchange.clean
+    reply = exchange.reply()
+    assert b"".join(reply.body or []) == LONG[:3000] and reply.load == {"utilisation": 0.5}
+
+
+def test_answer_without_a_length_has_to_announce_its_end() -> None:
+    exchange = Exchange()
+    with pytest.raises(UnsoundError):
+        exchange.feed(b"HTTP/1.1 200 OK\r\nServer-Load: util=1\r\n\r\nbody")
+    exchange = Exchange()
+    exchange.feed(b"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\nbody")
+    assert not exchange.complete and exchange.ends_here() and not exchange.clean
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,7 +12,7 @@
 from indigokeel.decision.interface import State
 from indigokeel.machine_list import ListError, decode, parse_address
 from indigokeel.net.http import load_figures
-from indigokeel.net.submitters import MalformedError, read_job
+from indigokeel.net.jobs import MalformedError, read_job
 from tests.peers import SETTINGS, entry, machine_list
 
 
