--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -171,6 +171,8 @@
                         if turn:  # the first warms up
                             found[what].append(spent)
                         print(f"{turn} {what:8} {spent:7.1f} us  {result}", flush=True)
+                for what, (process, _) in daemons.items():
+                    print(f"{what:8} {memory_kb(process.pid)} kB resident after all rounds")
             finally:
                 for process, _ in daemons.values():
                     process.kill()
