--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -95,6 +95,7 @@
         self._management = Management(self, self._counters)
         self._left = HandoverFiles(config.state_dir, config.name) if config.state_dir else None
         self._left_at, self._listed_at, self._began = -math.inf, 0.0, time.monotonic()
+        self._unwritten = False  # the last time
         self._learned: Any = None  # what the process before left, until it is taken in
         self._accepting = False
         self._ends_at = math.inf
@@ -450,9 +451,12 @@
         learned, marks = self._facade.learned(time.monotonic()), self._facade.cordons.marks()
         try:
             self._left.write(handover.encode(now, marks, known, self._listed_at, learned))
+            self._unwritten = False
         except OSError as error:
             self._counters.add("handovers_unwritten")
-            self._counters.log(f"nothing can be left for the next process: {error}", "warning")
+            if not self._unwritten:  # told once, not each second
+                self._counters.log(f"nothing can be left for the next process: {error}", "warning")
+            self._unwritten = True
 
     async def _sync(self) -> None:
         assert self._left is not None
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -149,6 +150,25 @@
         assert most - before < 4096 and rss(program) - before < 4096  # kB
 
 
+def test_node_that_resets_at_its_last_byte_is_whole_or_shows(tmp_path: Path) -> None:
+    def talk(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        conn.sendall(ok(LONG))
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+        file.close()
+
+    with beside(tmp_path, talk) as program:
+        for _ in range(5):
+            with program.connect() as conn:
+                conn.sendall(job())
+                code, headers, body = read_body(conn.makefile("rb"))
+                assert code == 200 and LONG.startswith(body) and headers["content-length"] == str(len(LONG))
+        counters = program.counters()
+        assert counters["owed"] == 0 and counters["answers_begun"] == 5
+
+
 def test_submitter_that_leaves_within_a_long_answer_ends_it_at_the_node(tmp_path: Path) -> None:
     ended = threading.Event()
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -387,6 +387,88 @@
         assert len(nodes[1].got) == had and old.process.wait(WAIT) == 0
 
 
+def test_cordon_holds_under_load_through_an_upgrade(tmp_path: Path) -> None:
+    with _platform(tmp_path, echo, echo, echo) as (listener, nodes, start):
+        address, stop, pause = listener.getsockname(), threading.Event(), threading.Event()
+        resting, wrong = threading.Barrier(4), list[Any]()
+
+        def submitter() -> None:
+            while not stop.is_set():
+                if pause.is_set():  # all stand still, then all go on
+                    resting.wait(WAIT)
+                    resting.wait(WAIT)
+                with socket.create_connection(address, timeout=WAIT) as conn:
+                    conn.sendall(job())
+                    code, answer = read_answer(conn.makefile("rb"))
+                    if code != 200 and "retry-after" not in answer.headers:
+                        wrong.append((code, answer))
+
+        workers = [threading.Thread(target=submitter) for _ in range(3)]
+        old = start()
+        for worker in workers:
+            worker.start()
+        until(lambda: len(nodes[0].got) > 5)
+        assert old.call("PUT", "cordon", "s-0") == 200
+        pause.set()
+        resting.wait(WAIT)  # nothing is open: what went out before the yes has ended
+        had = len(nodes[0].got)
+        pause.clear()
+        resting.wait(WAIT)
+        for _ in range(3):
+            new = start()
+            old.process.send_signal(signal.SIGTERM)
+            assert old.process.wait(WAIT) == 0
+            old = new
+        assert len(nodes[0].got) == had
+        assert old.call("PUT", "uncordon", "s-0") == 200
+        until(lambda: len(nodes[0].got) > had)
+        stop.set()
+        for worker in workers:
+            worker.join()
+        assert wrong == []
+
+
+def test_process_killed_before_its_yes_leaves_the_old_one_as_it_was(tmp_path: Path) -> None:
+    with _platform(tmp_path, echo, echo) as (listener, nodes, start):
+        old = start()
+        assert old.call("PUT", "cordon", "s-0") == 200
+        had = len(nodes[0].got)
+        for wait in (0.0, 0.05, 0.1, 0.2):
+            new = subprocess.Popen(
+                ["/bin/bash", "-c", f'exec "$0" "$@" 7<&{listener.fileno()}']
+                + [sys.executable, "-B", "-m", "indigokeel"],
+                cwd=ROOT,
+                env={
+                    "PATH": os.environ["PATH"],
+                    "BALANCER_CONFIG": str(old.config),
+                    "BALANCER_LISTEN_FD": "7",
+                    **_mgmt(tmp_path),
+                },
+                stderr=subprocess.DEVNULL,
+                pass_fds=[listener.fileno()],
+            )
+            time.sleep(wait)
+            new.kill()
+            new.wait()
+            for _ in range(3):
+                assert old.ask(job())[0] == 200
+        assert len(nodes[0].got) == had and old.counters()["cordoned"] == 1
+
+
+def test_cordon_holds_where_nothing_can_be_left(tmp_path: Path) -> None:
+    with running(tmp_path, echo, echo, **{**_mgmt(tmp_path), "TMPDIR": str(tmp_path / "none")}) as (
+        program,
+        nodes,
+        _,
+    ):
+        assert program.call("PUT", "cordon", "s-0") == 200 == program.call("PUT", "cordon", "s-0")
+        had = len(nodes[0].got)
+        for _ in range(10):
+            assert program.ask(job())[0] == 200
+        assert len(nodes[0].got) == had and program.counters()["handovers_unwritten"] >= 2
+        assert program.log.read_text().count("nothing can be left") == 1
+
+
 def test_job_half_written_to_the_old_process_is_answered_by_it(tmp_path: Path) -> None:
     with _platform(tmp_path, echo) as (_, _nodes, start):
         old = start()
