Keep the place of a message that grows before those that stand still

At fault: `Session.stuck_for` counted from a message's first byte, so where room was needed a true job, written for 2 s, went after 0.5 s like one that was never finished.

It counts from the last byte now. The test fails with the count from the first byte.

--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -83,8 +83,8 @@
     """One submitter's connection. httptools calls the ``on_`` methods."""
 
     __slots__ = (
-        "_close_after", "_counters", "_desk", "_fresh", "_head_size", "_headers", "_in_head", "_job", "_keep",
-        "_left", "_parser", "_passed", "_paused", "_queue", "_reading", "_since", "_size", "_stream",
+        "_close_after", "_counters", "_desk", "_fresh", "_grew", "_head_size", "_headers", "_in_head", "_job",
+        "_keep", "_left", "_parser", "_passed", "_paused", "_queue", "_reading", "_since", "_size", "_stream",
         "_target", "_transport", "_trouble", "_upload", "_working", "busy", "ended", "fd", "heard", "job_id",
     )  # fmt: skip
 
@@ -101,6 +101,7 @@
         self._working = False
         self._passed = False  # the door, before it was parsed
         self._keep = True  # after the answer that is owed now
+        self._grew = 0.0  # when anything came last
         self._since = 0.0  # when the message, the silence between two, or the answer's writing began
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -132,6 +133,7 @@
         if not self._reading and self.heard:
             self._since = time.monotonic()
         self.heard = True
+        self._grew = time.monotonic()
         if self._desk.behind and not (self._reading or self.busy or self._queue) and self._turned_away(data):
             return
         whole = len(self._queue)
@@ -206,8 +208,8 @@
         return 0.0 if self.busy or self._reading or self.ended else now - self._since
 
     def stuck_for(self, now: float) -> float:
-        """How long a message has been half here, or 0."""
-        return now - self._since if self._reading and not self.busy else 0.0
+        """How long a message that is half here has not grown, or 0."""
+        return now - self._grew if self._reading and not self.busy else 0.0
 
     def close(self) -> None:
         """Close it in order: what was written still goes out."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -287,6 +287,21 @@
         assert program.counters()["submitter_connections_open"] <= 8
 
 
+def test_message_that_grows_keeps_its_place_before_those_that_do_not(tmp_path: Path) -> None:
+    """Found on days with crowds: a true job written for 2 s was closed for a newcomer after 0.5 s."""
+    with running(tmp_path, echo, sockets=40) as (program, _, _d), contextlib.ExitStack() as stack:
+        slow = stack.enter_context(program.connect())
+        raw = job("pay", b"x")
+        for at in range(10):  # the oldest of all, and longer under way than any
+            slow.sendall(raw[at * 9 : at * 9 + 9])
+            conn = stack.enter_context(program.connect())
+            conn.sendall(b"POST /pay/1 HTTP/1.1\r\nHost")
+            time.sleep(0.12)
+        slow.sendall(raw[90:])
+        assert read_answer(slow.makefile("rb"))[0] == 200
+        assert program.counters()["submitters_shed"] >= 1
+
+
 @pytest.mark.parametrize(
     ("raw", "told"),
     [
