--- a/indigokeel/config.py
+++ b/indigokeel/config.py
@@ -59,7 +59,7 @@
     mgmt: tuple[str, int] | None = None  # the operators' address; None: there is none
     listen_fd: int = -1  # the platform's listening socket, inherited; -1: there is none
     state_dir: str = ""  # where processes of this sidecar find what the one before knew; "": nowhere
-    raw: Mapping[str, Any] = field(default_factory=dict)  # the file's content, but for its lists
+    raw: Mapping[str, Any] = field(default_factory=dict)  # the file's content, but for what `known` holds
 
 
 def load_config(env: Mapping[str, str]) -> Config:
--- a/indigokeel/net/exchange.py
+++ b/indigokeel/net/exchange.py
@@ -83,14 +83,13 @@
                 self._body_at, self._head = at, b""
             elif len(self._head) > http.MAX_HEAD:
                 raise UnsoundError("a head without an end")
+        if self.chunked:
+            self._tail = (self._tail + data[-5:])[-5:]
         if self.complete:
             # Guards against the answer that brings more than belongs to it: what is left over would pass
             # for the next job's answer. llhttp skips empty lines, so the bytes are counted.
-            tail = (self._tail + data[-5:])[-5:]
-            exact = tail == b"0\r\n\r\n" if self.chunked else self._got == self._body_at + self.length
-            self.clean = exact and self._keep
-        elif self.chunked:
-            self._tail = (self._tail + data[-5:])[-5:]
+            ends = self._tail == b"0\r\n\r\n" if self.chunked else self._got == self._body_at + self.length
+            self.clean = ends and self._keep
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
@@ -149,7 +148,7 @@
 
     def ends_here(self) -> bool:
         """Told that the connection has ended in order: whether that makes it complete."""
-        self.complete = self.complete or (self.status == 200 and self._to_the_end)
+        self.complete = self.complete or self._to_the_end
         return self.complete
 
     def take(self) -> http.Body:
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -11,7 +11,7 @@
 import os
 import select
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import lru_cache
 from http import HTTPStatus
 
@@ -50,18 +50,38 @@
         raise
 
 
-def response(status: int, body: Body, retry_in: float = 0.0, close: bool = False) -> list[bytes]:
-    """A whole answer, head first."""
-    head = b"%sContent-Length: %d\r\n" % (_LINES[status], sum(map(len, body)))
+class MalformedError(Exception):
+    """A message that cannot be taken; ``status`` is what its sender is told."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+    @classmethod
+    def of(cls, error: Exception) -> MalformedError:
+        """What the parser's error says: one that a callback has raised goes before the parser's own word."""
+        cause = error.__context__
+        return cause if isinstance(cause, cls) else cls(400, str(error))
+
+
+def one_framing(headers: Mapping[bytes, bytes]) -> None:
+    """Refuse a message that says in two ways where it ends, whatever the parser takes. Guards against the
+    smuggled job: a node may let the other length win, and find a second job inside the body."""
+    if b"content-length" in headers and b"transfer-encoding" in headers:
+        raise MalformedError(400, "both Content-Length and Transfer-Encoding")
+
+
+def head(status: int, length: int, retry_in: float = 0.0, close: bool = False) -> bytes:
+    """An answer's head; ``length`` of the body in bytes, -1: in chunks."""
+    found = b"Content-Length: %d\r\n" % length if length >= 0 else b"Transfer-Encoding: chunked\r\n"
     if retry_in > 0.0:
-        head += b"Retry-After: %.3f\r\n" % retry_in
-    return [head + (b"Connection: close\r\n\r\n" if close else b"\r\n"), *body]
+        found += b"Retry-After: %.3f\r\n" % retry_in
+    return _LINES[status] + found + (b"Connection: close\r\n\r\n" if close else b"\r\n")
 
 
-def head(length: int, close: bool) -> bytes:
-    """The head of an answer that passes in pieces; ``length`` in bytes, -1: in chunks."""
-    framing = b"Content-Length: %d\r\n" % length if length >= 0 else b"Transfer-Encoding: chunked\r\n"
-    return _LINES[200] + framing + (b"Connection: close\r\n\r\n" if close else b"\r\n")
+def response(status: int, body: Body, retry_in: float = 0.0, close: bool = False) -> list[bytes]:
+    """A whole answer, head first."""
+    return [head(status, sum(map(len, body)), retry_in, close), *body]
 
 
 def chunk(pieces: Sequence[bytes], last: bool) -> list[bytes]:
--- a/indigokeel/net/jobs.py
+++ b/indigokeel/net/jobs.py
@@ -8,20 +8,13 @@
 from indigokeel.decision.interface import Effect, Settings
 from indigokeel.facade import Job
 from indigokeel.net.exchange import Task
+from indigokeel.net.http import MalformedError
 
 _LONGEST = 3600.0  # s that a submitter may be willing to wait
 
 Headers = Mapping[bytes, bytes]  # names in lower case
 
 
-class MalformedError(Exception):
-    """A message that is no job; ``status`` is what its sender is told."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-
-
 def read_job(method: bytes, target: bytes, headers: Headers, settings: Settings) -> tuple[Job, Task]:
     """Turn a message's head into a job and what of it goes on; raises MalformedError."""
 
--- a/indigokeel/net/management.py
+++ b/indigokeel/net/management.py
@@ -13,6 +13,7 @@
 
 from indigokeel.net import http
 from indigokeel.net.counters import Counters
+from indigokeel.net.http import MalformedError
 
 MOST = 24  # connections at a time; with more, the one that has said nothing whole for longest goes
 _MOST = 12 * 1024  # bytes of a call
@@ -33,14 +34,6 @@
         """Give a node back; False where nobody has it."""
 
 
-class CallError(Exception):
-    """A call that is answered no; ``status`` is 4xx."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-
-
 class Management:
     """Listens for the operators' calls."""
 
@@ -105,16 +98,12 @@
         self._size += len(data)
         try:
             if self._size > _MOST:
-                raise CallError(413, "the call is too large")
+                raise MalformedError(413, "the call is too large")
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, CallError):
-                self._answer(cause.status, str(cause))
-            else:
-                self._answer(400, str(error))
-        except CallError as error:
-            self._answer(error.status, str(error))
+            self._refuse(MalformedError.of(error))
+        except MalformedError as error:
+            self._refuse(error)
         except Exception as error:  # a fault costs this call and no other
             self._room.counters.add("session_faults")
             self._room.counters.log(f"fault in a call: {type(error).__name__}: {error}", "error")
@@ -125,12 +114,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if len(self._headers) > 100:
-            raise CallError(431, "the head is too large")
+            raise MalformedError(431, "the head is too large")
         self._headers.setdefault(name.lower(), value.strip(b" \t"))
 
     def on_headers_complete(self) -> None:
-        if b"content-length" in self._headers and b"transfer-encoding" in self._headers:
-            raise CallError(400, "both Content-Length and Transfer-Encoding")
+        http.one_framing(self._headers)
         if self._headers.get(b"expect", b"").lower() == b"100-continue":
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -142,23 +130,23 @@
         if parser is None:
             return
         if parser.should_upgrade():
-            raise CallError(400, "no other protocol is spoken here")
+            raise MalformedError(400, "no other protocol is spoken here")
         method, path = parser.get_method(), self._target.split(b"?", 1)[0]
         desk = self._room.desk
         if path == b"/admin/health":
             if method not in (b"GET", b"HEAD"):
-                raise CallError(405, "only GET")
+                raise MalformedError(405, "only GET")
             yes = desk.serves()
             self._answer(200 if yes else 503, "yes" if yes else "no", method == b"HEAD")
         elif path in (b"/admin/cordon", b"/admin/uncordon"):
             if method != b"PUT":
-                raise CallError(405, "only PUT")
+                raise MalformedError(405, "only PUT")
             who = _who(self._body)
             if not (desk.cordon(who) if path == b"/admin/cordon" else desk.uncordon(who)):
-                raise CallError(404, "nobody has a node of this id")
+                raise MalformedError(404, "nobody has a node of this id")
             self._answer(200, "yes")
         else:
-            raise CallError(404, "there is no such call")
+            raise MalformedError(404, "there is no such call")
 
     def _answer(self, status: int, why: str, bodiless: bool = False) -> None:
         """Answer, once, and close as soon as the caller has had the time to read it."""
@@ -177,6 +165,9 @@
             self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(_LINGER, self.drop)
 
+    def _refuse(self, error: MalformedError) -> None:
+        self._answer(error.status, str(error))
+
     def _too_late(self) -> None:
         self._answer(408, "the call took too long")
 
@@ -191,8 +182,8 @@
     try:
         data = orjson.loads(body)
     except orjson.JSONDecodeError:
-        raise CallError(400, "the body is not JSON") from None
+        raise MalformedError(400, "the body is not JSON") from None
     who = data.get("who") if isinstance(data, dict) else None
     if not isinstance(who, str) or not 0 < len(who) <= 200:
-        raise CallError(400, 'the body has to be {"who": "ID"}')
+        raise MalformedError(400, 'the body has to be {"who": "ID"}')
     return who
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -17,7 +17,8 @@
 from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.counters import Counters
 from indigokeel.net.exchange import Reply, Task
-from indigokeel.net.jobs import MalformedError, read_job
+from indigokeel.net.http import MalformedError
+from indigokeel.net.jobs import read_job
 
 _MESSAGE_TIME = 2.5  # s from a message's first byte (of the first one: from the connection) to its last
 # s after which a connection with no open job is closed, also one that never said anything. Guards against
@@ -83,7 +84,7 @@
     """One submitter's connection. httptools calls the ``on_`` methods."""
 
     __slots__ = (
-        "_close_after", "_counters", "_desk", "_fresh", "_grew", "_head_size", "_headers", "_in_head", "_job",
+        "_counters", "_desk", "_fresh", "_grew", "_head_size", "_headers", "_in_head", "_job",
         "_keep", "_left", "_parser", "_passed", "_paused", "_queue", "_reading", "_since", "_size", "_stream",
         "_target", "_transport", "_trouble", "_upload", "_working", "busy", "ended", "fd", "heard", "job_id",
     )  # fmt: skip
@@ -100,7 +101,7 @@
         self._in_head = False  # ... and its head
         self._working = False
         self._passed = False  # the door, before it was parsed
-        self._keep = True  # after the answer that is owed now
+        self._keep = True  # the connection, after the answer that is owed now and the message it is for
         self._grew = 0.0  # when anything came last
         self._since = 0.0  # when the message, the silence between two, or the answer's writing began
         self._target = b""
@@ -110,7 +111,6 @@
         self._upload: Upload | None = None  # the long body that is being read
         self._fresh: tuple[Job, Task] | None = None  # its job, until that is taken
         self._stream: Stream | None = None  # the long answer that is being written
-        self._close_after = False  # once the long body has been read
         self._paused = 0.0  # since when nothing is read, because what came has to go on first
         self._left = 0  # bytes of answers that wait to be written, when last looked at
         self.heard = False  # has sent anything at all
@@ -130,10 +130,10 @@
         parser = self._parser
         if parser is None:
             return
+        self._grew = time.monotonic()
         if not self._reading and self.heard:
-            self._since = time.monotonic()
+            self._since = self._grew
         self.heard = True
-        self._grew = time.monotonic()
         if self._desk.behind and not (self._reading or self.busy or self._queue) and self._turned_away(data):
             return
         whole = len(self._queue)
@@ -144,8 +144,7 @@
                 if self._head_size > http.MAX_HEAD:
                     raise MalformedError(431, "the head is too large")
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            self._fail(cause if isinstance(cause, MalformedError) else MalformedError(400, str(error)))
+            self._fail(MalformedError.of(error))
         except MalformedError as error:
             self._fail(error)
         except Exception as error:  # a fault costs this connection and no other
@@ -261,11 +260,8 @@
         self._in_head = False
         if len(self._target) + sum(map(len, self._headers.values())) > http.MAX_HEAD:
             raise MalformedError(431, "the head is too large")
-        # Both are checked here too, whatever the parser takes. Guards against the smuggled job: a node may
-        # let the other length win, and find a second job inside the body.
+        http.one_framing(self._headers)
         length = self._headers.get(b"content-length")
-        if length is not None and b"transfer-encoding" in self._headers:
-            raise MalformedError(400, "both Content-Length and Transfer-Encoding")
         if length is not None and int(length) > http.MOST_BODY:
             raise MalformedError(413, "the body is too large")
         if parser.should_upgrade():
@@ -304,27 +300,26 @@
         job, self._job = self._job, None
         keep = self._parser.should_keep_alive()
         upload, self._upload = self._upload, None
-        now = time.monotonic()
+        now = self._since = time.monotonic()
         if upload is not None and self._fresh is None:  # its job was taken before
+            self._keep = self._keep and keep
             upload.end()
             if self.job_id:
-                self._since, self._keep = now, keep
                 self._desk.uploaded(self.job_id)
-            elif self._stream is not None:
-                self._close_after |= not keep
-            elif self._close_after or not keep:
+            elif self._stream is None and not self._keep:
                 self.close()
-            else:
-                self._since = now
             return
         if upload is not None and job is not None:  # it was all here before its job could be taken
             job[1].body, job[1].upload, self._fresh = upload.all(), None, None
             job[0].long = False
-        self._since = now
         self._queue.append((now, job, keep))
         if len(self._queue) > _MOST_AHEAD:
             raise MalformedError(429, "too many messages at once")
 
+    def _sent_on(self) -> Upload | None:
+        """The long body that is being read, if it is that of the job in service and not of the next."""
+        return self._upload if self._fresh is None else None
+
     # --- long bodies ------------------------------------------------------------------------------------
 
     def pause(self) -> None:
@@ -363,7 +358,7 @@
             return
         if stream.length < 0:
             self._transport.write(b"0\r\n\r\n")
-        self._written(self._close_after)
+        self._written()
         self._work()
 
     # --- answering ------------------------------------------------------------------------------------
@@ -418,43 +413,40 @@
             return
         # What was sent ahead is answered first.
         over = self._desk.closing or self._desk.crowded()
-        uploading = self._upload is not None and self._fresh is None  # for this job, not the next
-        reading = self._reading and not uploading
-        last = not self._keep or (over and not self._queue and not reading)
+        upload = self._sent_on()
+        self._keep = self._keep and not (over and not self._queue and (upload or not self._reading))
         self._counters.add("answers_written")
-        if self._upload is not None and uploading:
-            self._upload.drop()  # what is still to come of it is read and thrown away
+        if upload is not None:
+            upload.drop()  # what is still to come of it is read and thrown away
         reply = final.reply
         if reply is not None and reply.stream is not None:
-            self._stream, self._close_after = reply.stream, last
+            self._stream = reply.stream
             self._since = time.monotonic()
-            self._transport.write(http.head(reply.stream.length, last))
+            self._transport.write(http.head(200, reply.stream.length, close=not self._keep))
             reply.stream.attach(self)
             return
         body = reply.body if reply is not None else None
-        self._write(http.response(_STATUS[final.verdict], body or [], final.retry_in, last), last)
+        self._write(http.response(_STATUS[final.verdict], body or [], final.retry_in, not self._keep))
         self._work()
 
-    def _write(self, pieces: list[bytes], last: bool = False) -> None:
+    def _write(self, pieces: list[bytes]) -> None:
         self._transport.write(b"".join(pieces) if len(pieces) > 1 else pieces[0])
-        self._written(last)
+        self._written()
 
-    def _written(self, last: bool) -> None:
+    def _written(self) -> None:
         """The answer is out. A body that still comes is read to its end first: a close would reset it."""
         self.busy = False
-        if self._upload is not None and self._fresh is None:
-            self._close_after |= last
-            return
-        self._since = time.monotonic()
-        if last or not self._keep:
-            self.close()
+        if self._sent_on() is None:
+            self._since = time.monotonic()
+            if not self._keep:
+                self.close()
 
     # --- what is no job -------------------------------------------------------------------------------
 
     def _fail(self, error: MalformedError) -> None:
         """Nothing more is read; told once what was read before is answered."""
         if self._trouble is None and not self.ended:
-            if self._upload is not None and self._fresh is None and self.job_id:  # its body will not be whole
+            if self._sent_on() is not None and self.job_id:  # its body will not be whole
                 self._let_go()
                 self.busy = False
             self._fresh = self._upload = None
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -11,8 +11,8 @@
 from indigokeel.config import ConfigError, decode_settings, load_config
 from indigokeel.decision.interface import State
 from indigokeel.machine_list import ListError, decode, parse_address
-from indigokeel.net.http import load_figures
-from indigokeel.net.jobs import MalformedError, read_job
+from indigokeel.net.http import MalformedError, load_figures
+from indigokeel.net.jobs import read_job
 from tests.peers import SETTINGS, entry, machine_list
 
 
