Lay the machine list out once, and only for news; give the facade's values a file

Read again: `Facade.merge` laid the whole list out anew, and had the module index it, for each file that another process leaves, once a second in an upgrade, with nothing new in it; so did a second `cordon` of one node. It also set the wait before discovery is asked again back to its least. Now only marks that are new do. A list's machines went through the cordons twice; `Orders.add` is gone, for orders are passed in as everywhere else.

The new test fails where `merge` tells the module of nothing.

--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -11,8 +11,6 @@
 import heapq
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import Enum
 from functools import partial
 from typing import Any
 
@@ -21,6 +19,7 @@
 from indigokeel.decision import interface as api
 from indigokeel.decision.balancer import Balancer
 from indigokeel.machine_list import Machine, MachineList
+from indigokeel.orders import Answer, Claim, Job, Orders, Outcome, Verdict
 
 # s before the submitter's own limit at which the last word is given: the answer has to be written, and
 # to arrive, in that time. Where it costs no worth it is the longer one. Guards against the burst: when an
@@ -33,89 +32,6 @@
 _MOST_EVENTS = 1000  # that one call may set off in the module: guards against a loop that never ends
 
 
-class Outcome(Enum):
-    """How a claim ended, as the network saw it; ``ending`` is the module's word for it."""
-
-    __hash__ = object.__hash__
-
-    SERVED = api.Ending.OK
-    ERROR = api.Ending.ERROR
-    TURNED_AWAY = api.Ending.REFUSED  # the execute node says that it never began
-    NO_CONNECTION = api.Ending.NO_CONNECTION  # not all of it was written: it cannot have run
-    BROKEN = api.Ending.BROKEN
-    MOOT = api.Ending.NEVER_SENT  # not sent: the job is over, or the execute node wants nothing new
-    TIMED_OUT = api.Ending.TIMEOUT
-
-    def __init__(self, ending: api.Ending) -> None:
-        self.ending = ending
-
-
-class Verdict(Enum):
-    """The final answer to a job."""
-
-    __hash__ = object.__hash__
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Job:
-    """A submitter's job, owed exactly one answer within ``budget`` seconds."""
-
-    id: str
-    job_class: str
-    budget: float
-    tenant: str = ""
-    key: str = ""
-    hint: float = 0.0
-    repeat: bool = False
-    write: bool = False
-    long: bool = False  # its body still comes: its time starts with ``uploaded``
-
-
-@dataclass(slots=True)
-class Claim:
-    """One attempt at a job on one execute node, to be given up at clock time ``until``."""
-
-    job: str
-    number: int
-    node: str
-    until: float
-
-
-@dataclass(slots=True)
-class Answer:
-    """The final answer to a job; where it was served, ``claim`` is the one that did it."""
-
-    job: str
-    verdict: Verdict
-    retry_in: float = 0.0
-    claim: int = -1
-
-
-@dataclass(slots=True)
-class Orders:
-    """What the network has to do now."""
-
-    claims: list[Claim] = field(default_factory=list)
-    answers: list[Answer] = field(default_factory=list)
-    given_up: list[tuple[str, int]] = field(default_factory=list)  # claims whose connection is to close
-    probes: list[str] = field(default_factory=list)
-    close_idle: list[str] = field(default_factory=list)
-    warm: list[str] = field(default_factory=list)  # execute nodes that are new: claims on them will come
-    notes: list[str] = field(default_factory=list)
-    watch: bool = False
-    fetch: bool = False
-
-    def add(self, other: Orders) -> None:
-        """Take over what another has."""
-        for name in ("claims", "answers", "given_up", "probes", "close_idle", "warm", "notes"):
-            getattr(self, name).extend(getattr(other, name))
-        self.watch, self.fetch = self.watch or other.watch, self.fetch or other.fetch
-
-
 class _OpenClaim:
     __slots__ = ("begin_by", "begun", "ended", "may_have_run", "node", "sent")
 
@@ -311,23 +227,25 @@
         while len(self._gone) > _MOST_GONE:
             self._gone.pop(next(iter(self._gone)))
         kind = api.News.CACHED if cached else api.News.FULL if news.whole else api.News.DELTA
-        return self._lay(now, kind, news.machines, news.version)
+        orders = Orders()
+        self._lay(now, kind, news.machines, orders, news.version)
+        return orders
 
-    def _lay(self, now: float, kind: api.News, machines: tuple[Machine, ...], version: int = 0) -> Orders:
+    def _lay(
+        self, now: float, kind: api.News, machines: Iterable[Machine], orders: Orders, version: int = 0
+    ) -> None:
         """Tell the module of machines, as the operators' word leaves them."""
-        orders = Orders()
         before, unix = self._addresses, now - self._unix_to_clock
-        laid = [self.cordons.lay(machine, unix) for machine in self._machines.values()]
-        self._addresses = {m.name: (m.host, m.port) for m in laid if m.state is api.State.SERVING}
+        laid = {name: self.cordons.lay(machine, unix) for name, machine in self._machines.items()}
+        self._addresses = {name: (m.host, m.port) for name, m in laid.items() if m.state is api.State.SERVING}
         # Also where one has moved: its connections lead to an address that is another's by now.
         orders.close_idle += sorted(name for name, at in before.items() if self.address(name) != at)
         if len(self._machines) <= _MOST_WARMED:
             orders.warm += sorted(
                 name for name in self._machines if self.address(name) not in (None, before.get(name))
             )
-        members = tuple(self._member(self.cordons.lay(machine, unix)) for machine in machines)
+        members = tuple(self._member(laid.get(machine.name, machine)) for machine in machines)
         self._feed(now, api.MembershipNews(kind, members, version), orders)
-        return orders
 
     # --- what operators say ---------------------------------------------------------------------------
 
@@ -335,28 +253,36 @@
         """Take a node out until ``uncordon``, whatever lists say meanwhile; None where nobody has it."""
         if node not in self._machines and node not in self._gone:
             return None
-        self.cordons.cordon(node, now - self._unix_to_clock)
-        return self._marked(now, [node])
+        changed = self.cordons.cordon(node, now - self._unix_to_clock)
+        orders = Orders()
+        self._marked(now, [node] if changed else [], orders)
+        return orders
 
     def uncordon(self, now: float, node: str) -> Orders | None:
         """Give a node back, cold; None where nobody has it."""
         unix = now - self._unix_to_clock
         if node not in self._machines and node not in self._gone and not self.cordons.holds(node, unix):
             return None
-        self.cordons.uncordon(node, unix)
-        return self._marked(now, [node])
+        changed = self.cordons.uncordon(node, unix)
+        orders = Orders()
+        self._marked(now, [node] if changed else [], orders)
+        return orders
 
     def merge(self, now: float, marks: Iterable[Mark]) -> Orders:
         """Take in what another process of this sidecar was told."""
-        return self._marked(now, self.cordons.merge(marks))
-
-    def _marked(self, now: float, nodes: list[str]) -> Orders:
-        orders = self._lay(now, api.News.DELTA, tuple(m for n in nodes if (m := self._machines.get(n))))
-        end = self.cordons.next_end(now - self._unix_to_clock) + self._unix_to_clock
-        if end < math.inf:
-            self._enter(end, lambda late, more: more.add(self._marked(late, list(self._machines))))
+        orders = Orders()
+        self._marked(now, self.cordons.merge(marks), orders)
         return orders
 
+    def _marked(self, now: float, nodes: list[str], orders: Orders) -> None:
+        """Something new was said of these nodes, if of any."""
+        if nodes:
+            told = [self._machines[name] for name in nodes if name in self._machines]
+            self._lay(now, api.News.DELTA, told, orders)
+            end = self.cordons.next_end(now - self._unix_to_clock) + self._unix_to_clock
+            if end < math.inf:
+                self._enter(end, lambda late, more: self._marked(late, list(self._machines), more))
+
     def learned(self, now: float) -> dict[str, Any] | None:
         """What the module has learnt, for the next process, or None where that does not pay."""
         return learned.collect(self._balancer, now, self._unix_to_clock)
--- a/indigokeel/net/exchange.py
+++ b/indigokeel/net/exchange.py
@@ -6,9 +6,9 @@
 
 import httptools
 
-from indigokeel.facade import Outcome
 from indigokeel.net import http
 from indigokeel.net.bodies import Stream, Upload
+from indigokeel.orders import Outcome
 
 _MOST_AHEAD = 16  # 1xx answers before the final one
 _EARLY = 16 * 1024  # bytes of a body without a length, from where it is passed on before its end
--- a/indigokeel/net/jobs.py
+++ b/indigokeel/net/jobs.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 
 from indigokeel.decision.interface import Effect, Settings
-from indigokeel.facade import Job
 from indigokeel.net.exchange import Task
 from indigokeel.net.http import MalformedError
+from indigokeel.orders import Job
 
 _LONGEST = 3600.0  # s that a submitter may be willing to wait
 
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -6,12 +6,13 @@
 import time
 from collections.abc import Callable
 
-from indigokeel.facade import Claim, Facade, Outcome
+from indigokeel.facade import Facade
 from indigokeel.net import http
 from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.connections import Bounds, Connections, Link, Ticket
 from indigokeel.net.counters import Counters
 from indigokeel.net.exchange import Exchange, Reply, Task, UnsoundError
+from indigokeel.orders import Claim, Outcome
 
 _IDLE_PART = 0.5  # of keepalive-s; an idle connection is not used beyond it: the node closes at the whole
 _PROBE_TIME = 1.0  # s for a probe
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -14,7 +14,7 @@
 from indigokeel import handover
 from indigokeel.config import Config, ConfigError, reload_config
 from indigokeel.decision.interface import BEAT
-from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
+from indigokeel.facade import Facade
 from indigokeel.handover import HandoverError
 from indigokeel.machine_list import MachineList
 from indigokeel.net import http
@@ -27,6 +27,7 @@
 from indigokeel.net.management import Management
 from indigokeel.net.pool import Pool
 from indigokeel.net.submitters import Final, Session
+from indigokeel.orders import Claim, Job, Orders, Outcome, Verdict
 
 _RESERVE = 32  # descriptors kept for the log, discovery, the event loop and what the system wants
 _SUBMITTERS = 0.55  # of the others: for submitters, whose crowds come and go; the rest for execute nodes
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -12,13 +12,13 @@
 import httptools
 
 from indigokeel.decision.interface import Settings
-from indigokeel.facade import Job, Verdict
 from indigokeel.net import http
 from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.counters import Counters
 from indigokeel.net.exchange import Reply, Task
 from indigokeel.net.http import MalformedError
 from indigokeel.net.jobs import read_job
+from indigokeel.orders import Job, Verdict
 
 _MESSAGE_TIME = 2.5  # s from a message's first byte (of the first one: from the connection) to its last
 # s after which a connection with no open job is closed, also one that never said anything. Guards against
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -15,10 +15,11 @@
 from indigokeel import handover
 from indigokeel.cordons import Cordons, Mark
 from indigokeel.decision.interface import State
-from indigokeel.facade import Facade, Job, Orders, Outcome
+from indigokeel.facade import Facade
 from indigokeel.handover import HandoverError
 from indigokeel.machine_list import Machine, MachineList
 from indigokeel.net.handover_file import HandoverFiles
+from indigokeel.orders import Job, Orders, Outcome
 from tests.conftest import make_settings
 
 NOW = 1_000_000.0
@@ -61,6 +62,15 @@
     assert _sent(facade, NOW + 2.0) == {"s-0", "s-1", "s-2"}
 
 
+def test_word_that_is_not_new_costs_the_module_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the list laid out anew with each file that another process leaves, once a second."""
+    facade = _facade()
+    facade.cordon(NOW, "s-1")
+    monkeypatch.setattr(facade._balancer, "handle", None)
+    for orders in (facade.merge(NOW, facade.cordons.marks()), facade.cordon(NOW, "s-1")):
+        assert orders == Orders()
+
+
 def test_claim_picked_before_the_cordon_is_not_begun_after_it() -> None:
     facade = _facade()
     claim = facade.pick(NOW, Job("j", "view", 1.0)).claims[0]
--- a/tests/test_cycles.py
+++ b/tests/test_cycles.py
@@ -7,8 +7,9 @@
 from random import Random
 
 from indigokeel.decision import interface as api
-from indigokeel.facade import Facade, Job, Outcome
+from indigokeel.facade import Facade
 from indigokeel.machine_list import Machine, MachineList
+from indigokeel.orders import Job, Outcome
 from tests.conftest import make_settings
 
 
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -8,8 +8,9 @@
 import pytest
 
 from indigokeel.decision import interface as api
-from indigokeel.facade import ANSWER_MARGIN, Answer, Claim, Facade, Job, Orders, Outcome, Verdict
+from indigokeel.facade import ANSWER_MARGIN, Facade
 from indigokeel.machine_list import Machine, MachineList
+from indigokeel.orders import Answer, Claim, Job, Orders, Outcome, Verdict
 from tests.conftest import make_settings
 
 NODES = tuple(Machine(f"s-{i}", "127.0.0.1", 30 + i, "z0", "k", 0) for i in range(3))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,8 +17,9 @@
 import pytest
 
 from indigokeel.decision import interface as api
-from indigokeel.facade import Claim, Facade, Job, Orders, Outcome, Verdict
+from indigokeel.facade import Facade
 from indigokeel.machine_list import Machine, MachineList
+from indigokeel.orders import Claim, Job, Orders, Outcome, Verdict
 from tests.conftest import KEYED, UNSAFE, Driver, make_members, make_settings, of, sends
 
 SIDECARS, NODES, RATE = 40, 60, 30.0  # RATE: jobs a second that a warm node can do
--- a/tests/test_fleet_hard.py
+++ b/tests/test_fleet_hard.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from indigokeel.decision import interface as api
-from indigokeel.facade import Job, Verdict
 from indigokeel.machine_list import Machine, MachineList
+from indigokeel.orders import Job, Verdict
 from tests.test_fleet import Fleet, machine
 
 BUDGET = 0.7
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from indigokeel.config import decode_settings
-from indigokeel.facade import Facade, Job, Outcome, Verdict
+from indigokeel.facade import Facade
 from indigokeel.machine_list import MachineList, machine_list
 from indigokeel.net.connections import IdleRisk
 from indigokeel.net.counters import Counters
@@ -20,6 +20,7 @@
 from indigokeel.net.exchange import Reply, Task
 from indigokeel.net.pool import Pool
 from indigokeel.net.submitters import Final, Session
+from indigokeel.orders import Job, Outcome, Verdict
 from tests import peers
 
 
