Read a handed-over machine list with the decoder that reads discovery's

handover.py had a second writing and reading of a machine, beside `machine_list`. It writes discovery's own form now (`machine_list.entry`) and reads it with the same decoder, as strictly as that is: a zone or kind that is no string is taken as its text, as from discovery. The format is as old as this work, so its version stays.

--- a/indigokeel/handover.py
+++ b/indigokeel/handover.py
@@ -15,8 +15,7 @@
 import orjson
 
 from indigokeel.cordons import Mark
-from indigokeel.decision.interface import State
-from indigokeel.machine_list import Machine, MachineList
+from indigokeel.machine_list import MachineList, entry, machine_list
 
 MOST = 4 << 20  # bytes
 _MAGIC = b"indigokeel-handover"
@@ -65,10 +64,7 @@
     }
     if known is not None:
         body["listed_at"], body["version"] = listed_at, known.version
-        body["machines"] = [
-            [m.name, m.host, m.port, m.zone, m.kind, m.cell, m.state.value, m.weight, m.since]
-            for m in known.machines
-        ]
+        body["machines"] = [entry(machine) for machine in known.machines]
     data = orjson.dumps(body)
     return b"%s %d %d %s\n" % (_MAGIC, _VERSION, len(data), hashlib.sha256(data).hexdigest().encode()) + data
 
@@ -90,9 +86,8 @@
         at, learned = _past(told.get("at", 0.0), now), told.get("learned")
         if "machines" not in told:
             return Handover(marks, None, 0.0, at, learned)
-        machines = tuple(_machine(item) for item in told["machines"])
-        listed_at = _past(told["listed_at"], now)
-        return Handover(marks, MachineList(int(told["version"]), True, machines), listed_at, at, learned)
+        listed = {"index": told["version"], "snapshot": True, "endpoints": told["machines"]}
+        return Handover(marks, machine_list(listed), _past(told["listed_at"], now), at, learned)
     except HandoverError:
         raise
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
@@ -111,12 +106,3 @@
     if not isinstance(item["who"], str) or not isinstance(item["out"], bool) or math.isnan(until):
         raise HandoverError("a mark of a wrong shape")
     return Mark(item["who"], item["out"], _past(item["at"], now), str(item["by"]), until)
-
-
-def _machine(item: Any) -> Machine:
-    name, host, port, zone, kind, cell, state, weight, since = item
-    weight, since = float(weight), float(since)
-    strings = all(isinstance(text, str) for text in (name, host, zone, kind))
-    if not strings or not 0 < int(port) < 65536 or not math.isfinite(weight) or not math.isfinite(since):
-        raise HandoverError("a machine of a wrong shape")
-    return Machine(name, host, int(port), zone, kind, int(cell), State(state), weight, since)
--- a/indigokeel/machine_list.py
+++ b/indigokeel/machine_list.py
@@ -11,6 +11,7 @@
 from indigokeel.decision.interface import State
 
 _STATES = {"Ready": State.SERVING, "Terminating": State.DRAINING, "Gone": State.GONE}
+_WORDS = {state: word for word, state in _STATES.items()}
 
 
 class ListError(ValueError):
@@ -69,6 +70,20 @@
     )
 
 
+def entry(machine: Machine) -> dict[str, Any]:
+    """A machine as discovery writes it; ``machine_list`` reads the same machine from it again."""
+    return {
+        "name": machine.name,
+        "address": f"{machine.host}:{machine.port}",
+        "zone": machine.zone,
+        "type": machine.kind,
+        "group": machine.cell,
+        "status": _WORDS[machine.state],
+        "weight": machine.weight,
+        "since_ms": round(machine.since * 1000.0, 3),
+    }
+
+
 def machine_list(data: Any) -> MachineList:
     """Turn a decoded message into a machine list; raises ListError where it is none."""
     try:
