--- a/tests/peers.py
+++ b/tests/peers.py
@@ -67,7 +67,7 @@
 
 
 def read_message(file: Any) -> Message | None:
-    """Read one message with a Content-Length, or with none."""
+    """Read one message with a Content-Length, in chunks, or with no body."""
     line = file.readline()
     if not line:
         return None
@@ -76,6 +76,11 @@
         name, _, value = row.partition(b":")
         headers[name.decode().lower()] = value.strip().decode()
     body = file.read(int(headers.get("content-length", "0")))
+    if headers.get("transfer-encoding") == "chunked":
+        while size := int(file.readline(), 16):
+            body += file.read(size)
+            assert file.read(2) == b"\r\n"
+        assert file.readline() == b"\r\n"
     return Message(line.decode().strip(), headers, body)
 
 
@@ -170,6 +175,24 @@
         return int(server.getsockname()[1])
 
 
+def start(
+    config: Path, log: Any, listener: socket.socket | None = None, **env: str
+) -> subprocess.Popen[bytes]:
+    """Start the program as ``run`` does. ``listener`` is handed on as descriptor 7, as the platform does it
+    with its own, whatever its number is here."""
+    command = [sys.executable, "-B", "-m", "indigokeel"]
+    if listener is not None:
+        command = ["/bin/bash", "-c", f'exec "$0" "$@" 7<&{listener.fileno()}', *command]
+        env["BALANCER_LISTEN_FD"] = "7"
+    return subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(config), **env},
+        stderr=log,
+        pass_fds=[listener.fileno()] if listener else [],
+    )
+
+
 class Program:
     """The program, started as ``run`` starts it."""
 
@@ -197,17 +220,7 @@
         }
         config.write_text(json.dumps(data))
         self.log = tmp / f"log-{next(_ids)}"
-        command = [sys.executable, "-B", "-m", "indigokeel"]
-        if listener is not None:  # as the platform hands it on, whatever its number is here
-            command = ["/bin/bash", "-c", f'exec "$0" "$@" 7<&{listener.fileno()}', *command]
-            more["BALANCER_LISTEN_FD"] = "7"
-        self.process = subprocess.Popen(
-            command,
-            cwd=ROOT,
-            env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(config), **more},
-            stderr=self.log.open("wb"),
-            pass_fds=[listener.fileno()] if listener else [],
-        )
+        self.process = start(config, self.log.open("wb"), listener, **more)
         if self.mgmt:
             until(lambda: self.process.poll() is not None or self.call("GET", "health") == 200)
         else:
@@ -274,10 +287,10 @@
 
 @contextlib.contextmanager
 def running(
-    tmp: Path, *scripts: Callable[[Message], bytes | None], sockets: int = 256, **more: Any
+    tmp: Path, *scripts: Callable[[Message], bytes | None] | Peer, sockets: int = 256, **more: Any
 ) -> Iterator[tuple[Program, list[Peer], Discovery]]:
-    """A program with execute nodes n0, n1 ... of one cell, each doing what its script says."""
-    nodes = [Peer(script) for script in scripts]
+    """A program with execute nodes n0, n1 ... of one cell: peers, or what each is to do by its script."""
+    nodes = [script if isinstance(script, Peer) else Peer(script) for script in scripts]
     discovery = Discovery()
     known = machine_list(*(entry(f"s-{i}", node.port) for i, node in enumerate(nodes)))
     program = Program(tmp, known, discovery.port, sockets, **more)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,7 +9,7 @@
 import struct
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +18,21 @@
 from indigokeel.net import http
 from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.exchange import Exchange, UnsoundError
-from tests.peers import WAIT, Message, Peer, Program, job, ok, read_answer, running, until
+from tests.peers import (
+    WAIT,
+    Discovery,
+    Message,
+    Peer,
+    Program,
+    entry,
+    job,
+    machine_list,
+    ok,
+    read_answer,
+    read_message,
+    running,
+    until,
+)
 
 LONG = os.urandom(1 << 20)
 
@@ -32,23 +46,6 @@
     return b"".join(b"%x;ext=1\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\nTrailer: x\r\n\r\n"
 
 
-def read_body(file: Any) -> tuple[int, dict[str, str], bytes]:
-    """Read an answer in either framing."""
-    code = int(file.readline().split(b" ")[1])
-    headers = {}
-    while (row := file.readline().strip()) != b"":
-        name, _, value = row.partition(b":")
-        headers[name.decode().lower()] = value.strip().decode()
-    if "transfer-encoding" not in headers:
-        return code, headers, file.read(int(headers["content-length"]))
-    body = b""
-    while size := int(file.readline(), 16):
-        body += file.read(size)
-        assert file.read(2) == b"\r\n"
-    assert file.readline() == b"\r\n"
-    return code, headers, body
-
-
 def rss(program: Program) -> int:
     """Resident kilobytes of the process."""
     status = Path(f"/proc/{program.process.pid}/status").read_text()
@@ -67,22 +64,6 @@
             self.talk(conn, file)
 
 
-@contextlib.contextmanager
-def beside(tmp: Path, talk: Callable[[socket.socket, Any], None]) -> Iterator[Program]:
-    """A program whose one node does ``talk`` with each of its connections."""
-    from tests.peers import Discovery, entry, machine_list
-
-    node, discovery = Raw(talk), Discovery()
-    program = Program(tmp, machine_list(entry("s-0", node.port)), discovery.port, 256)
-    try:
-        yield program
-    finally:
-        program.process.kill()
-        program.process.wait()
-        node.close()
-        discovery.close()
-
-
 # --- answers ----------------------------------------------------------------------------------------------
 
 
@@ -100,8 +81,8 @@
         file = conn.makefile("rb")
         for _ in range(3):
             conn.sendall(job())
-            code, _headers, body = read_body(file)
-            assert code == 200 and body == LONG
+            code, got = read_answer(file)
+            assert code == 200 and got.body == LONG
         counters = program.counters()
         assert (counters["jobs_served"], counters["answers_begun"], counters["owed"]) == (3, 3, 0)
 
@@ -117,8 +98,8 @@
         with program.connect() as conn:
             conn.sendall(job())
             file = conn.makefile("rb")
-            code, headers, body = read_body(file)
-            assert code == 200 and len(body) < int(headers["content-length"]) == len(LONG)
+            code, answer = read_answer(file)
+            assert code == 200 and len(answer.body) < int(answer.headers["content-length"]) == len(LONG)
         assert len(nodes[0].got) == 1 and program.counters()["answers_cut_off"] == 1
 
 
@@ -132,7 +113,7 @@
         for _ in range(32):
             conn.sendall(block)
 
-    with beside(tmp_path, talk) as program:
+    with running(tmp_path, Raw(talk)) as (program, _, _d):
         assert program.counters()["owed"] == 0
         before, most, got = rss(program), 0, 0
         with program.connect() as conn:
@@ -159,12 +140,13 @@
         conn.close()
         file.close()
 
-    with beside(tmp_path, talk) as program:
+    with running(tmp_path, Raw(talk)) as (program, _, _d):
         for _ in range(5):
             with program.connect() as conn:
                 conn.sendall(job())
-                code, headers, body = read_body(conn.makefile("rb"))
-                assert code == 200 and LONG.startswith(body) and headers["content-length"] == str(len(LONG))
+                code, answer = read_answer(conn.makefile("rb"))
+                assert code == 200 and LONG.startswith(answer.body)
+                assert answer.headers["content-length"] == str(len(LONG))
         counters = program.counters()
         assert counters["owed"] == 0 and counters["answers_begun"] == 5
 
@@ -182,7 +164,7 @@
         except OSError:
             ended.set()
 
-    with beside(tmp_path, talk) as program:
+    with running(tmp_path, Raw(talk)) as (program, _, _d):
         with program.connect() as conn:
             conn.sendall(job())
             assert conn.recv(1000)
@@ -200,7 +182,7 @@
         assert go.wait(WAIT)
         conn.sendall(LONG[100_000:])
 
-    with beside(tmp_path, talk) as program, program.connect() as conn:
+    with running(tmp_path, Raw(talk)) as (program, _, _d), program.connect() as conn:
         conn.sendall(job())
         file = conn.makefile("rb")
         first = file.readline()
@@ -234,24 +216,12 @@
     bodies: list[bytes] = []
 
     def talk(conn: socket.socket, file: Any) -> None:
-        while (line := file.readline()) != b"":
-            headers = {}
-            while (row := file.readline().strip()) != b"":
-                name, _, value = row.partition(b":")
-                headers[name.lower()] = value.strip()
-            if b"content-length" in headers:
-                body = file.read(int(headers[b"content-length"]))
-            else:
-                body = b""
-                while size := int(file.readline(), 16):
-                    body += file.read(size)
-                    file.readline()
-                file.readline()
-            assert line.startswith(b"POST /pay/")
-            bodies.append(body)
-            conn.sendall(ok(b"took %d" % len(body)))
-
-    with beside(tmp_path, talk) as program, program.connect() as conn:
+        while (message := read_message(file)) is not None:
+            assert message.line.startswith("POST /pay/")
+            bodies.append(message.body)
+            conn.sendall(ok(b"took %d" % len(message.body)))
+
+    with running(tmp_path, Raw(talk)) as (program, _, _d), program.connect() as conn:
         file = conn.makefile("rb")
         for number in (1, 2):
             raw = raw.replace(b"Request-Id: ", b"Request-Id: %d" % number, 1)
@@ -263,14 +233,10 @@
                     time.sleep(0.002)
             else:
                 conn.sendall(raw)
-            line = file.readline()
-            if line.startswith(b"HTTP/1.1 100"):
-                assert file.readline() == b"\r\n"
-                line = file.readline()
-            assert line.startswith(b"HTTP/1.1 200")
-            while file.readline().strip():
-                pass
-            assert file.read(len(b"took %d" % len(LONG))) == b"took %d" % len(LONG)
+            code, answer = read_answer(file)
+            if code == 100:
+                code, answer = read_answer(file)
+            assert (code, answer.body) == (200, b"took %d" % len(LONG))
         assert bodies == [LONG, LONG]
         assert program.counters()["owed"] == 0
 
@@ -282,7 +248,7 @@
         conn.sendall(raw[:200_000])
         time.sleep(0.5)
         conn.sendall(raw[200_000:])
-        assert read_body(conn.makefile("rb"))[2] == LONG
+        assert read_answer(conn.makefile("rb"))[1].body == LONG
 
 
 def test_long_job_that_breaks_off_is_no_job_at_the_node(tmp_path: Path) -> None:
@@ -299,8 +265,6 @@
     closed = socket.create_server(("127.0.0.1", 0))
     port = closed.getsockname()[1]
     closed.close()
-    from tests.peers import Discovery, entry, machine_list
-
     discovery = Discovery()
     program = Program(tmp_path, machine_list(entry("s-0", port)), discovery.port, 256)
     try:
@@ -308,8 +272,8 @@
             file = conn.makefile("rb")
             raw = job("pay", LONG)
             conn.sendall(raw[:300_000])
-            code, headers, _ = read_body(file)  # before the rest is sent
-            assert code == 503 and "retry-after" in headers
+            code, answer = read_answer(file)  # before the rest is sent
+            assert code == 503 and "retry-after" in answer.headers
             conn.sendall(raw[300_000:])
             conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
             assert read_answer(file)[0] == 200
@@ -333,9 +297,9 @@
         until(lambda: program.counters()["jobs_taken"] == 1)
         go.set()
         file = conn.makefile("rb")
-        assert read_body(file)[2] == b"first"
-        code, _headers, body = read_body(file)
-        assert (code, body) == (200, LONG)
+        assert read_answer(file)[1].body == b"first"
+        code, answer = read_answer(file)
+        assert (code, answer.body) == (200, LONG)
         sender.join()
 
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -9,7 +9,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -24,7 +23,6 @@
 from tests.peers import (
     CLASSES,
     OPERATORS,
-    ROOT,
     SETTINGS,
     WAIT,
     Discovery,
@@ -40,6 +38,7 @@
     running,
     until,
 )
+from tests.peers import start as start_process
 
 
 def echo(message: Message) -> bytes:
@@ -434,19 +433,7 @@
         assert old.call("PUT", "cordon", "s-0") == 200
         had = len(nodes[0].got)
         for wait in (0.0, 0.05, 0.1, 0.2):
-            new = subprocess.Popen(
-                ["/bin/bash", "-c", f'exec "$0" "$@" 7<&{listener.fileno()}']
-                + [sys.executable, "-B", "-m", "indigokeel"],
-                cwd=ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "BALANCER_CONFIG": str(old.config),
-                    "BALANCER_LISTEN_FD": "7",
-                    **_mgmt(tmp_path),
-                },
-                stderr=subprocess.DEVNULL,
-                pass_fds=[listener.fileno()],
-            )
+            new = start_process(old.config, subprocess.DEVNULL, listener, **_mgmt(tmp_path))
             time.sleep(wait)
             new.kill()
             new.wait()
@@ -505,16 +492,9 @@
 def test_descriptor_that_is_no_listener_is_told(tmp_path: Path) -> None:
     near, far = socket.socketpair()
     with near, far, running(tmp_path, echo) as (good, _, _d):
-        script = f'exec "$0" "$@" 7<&{near.fileno()}'
-        done = subprocess.run(
-            ["/bin/bash", "-c", script, sys.executable, "-B", "-m", "indigokeel"],
-            cwd=ROOT,
-            env={"PATH": os.environ["PATH"], "BALANCER_CONFIG": str(good.config), "BALANCER_LISTEN_FD": "7"},
-            stderr=subprocess.PIPE,
-            pass_fds=[near.fileno()],
-            timeout=WAIT,
-        )
-        assert done.returncode == 1 and b"descriptor 7 is no socket that listens" in done.stderr
+        process = start_process(good.config, subprocess.PIPE, near)
+        told = process.communicate(timeout=WAIT)[1]
+        assert process.returncode == 1 and b"descriptor 7 is no socket that listens" in told
 
 
 def test_listener_for_operators_is_in_the_books(tmp_path: Path) -> None:
