Tell a reset that lies behind bytes at once, and read what came before it

Seen: a node that resets right behind its answer left the claim standing. A probe of 20 lines on the loop alone (100 bytes, then a reset, both before the reader runs) has uvloop's add_reader call once, `[100]`, and never again; asyncio's own loop calls `[100, 'ConnectionResetError']`. With 100,000 bytes it calls once too, and what is left in the socket is never read. So a claim with half an answer stood until its time was over and counted as timed out, and of a whole long answer the last 34 kB were lost.

Ruled out: the kernel throwing the bytes away (they can still be read, and then the error); the exchange (it is handed nothing); the time for a stream that stands still (it ended such answers after 10 s, as cut off by the submitter's side).

At fault: Link._readable, which relies on being called again. Now, while more is awaited on the connection, it asks the system for an error it holds and reads on until that. An answer that came whole in one read is asked nothing, so the usual exchange costs what it did; idle connections are asked before their use, as ever.

--- a/indigokeel/net/connections/link.py
+++ b/indigokeel/net/connections/link.py
@@ -145,6 +145,24 @@
             self._owner.went_down(self, error)
 
     def _readable(self) -> None:
+        self._read()
+        # Guards against the reset that nobody is told of: where bytes came before it, uvloop calls once, for
+        # those, and watches no more. Asked only while more is awaited: an idle one is asked before its use.
+        while self._reading and self.state is State.IN_USE and self._broken():
+            self._read()
+
+    def _broken(self) -> bool:
+        """Whether the system holds an error for this connection, whatever can be read before it."""
+        return any(found & select.POLLERR for _, found in self._polled())
+
+    def _polled(self) -> list[tuple[int, int]]:
+        """What the system says of the descriptor now."""
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(self.fd, select.POLLIN)
+        return self._poll.poll(0)
+
+    def _read(self) -> None:
         sock = self._sock
         if sock is None:
             return
@@ -216,12 +234,7 @@
     def alive(self) -> bool:
         """Whether an idle connection is up still, with nothing on it that nobody asked for: asked of the
         system right before it is used."""
-        if self._sock is None:
-            return False
-        if self._poll is None:
-            self._poll = select.poll()
-            self._poll.register(self.fd, select.POLLIN)
-        return not self._poll.poll(0)
+        return self._sock is not None and not self._polled()
 
     def spent(self) -> bool:
         """Whether something is left unsent, so that no further call may follow on it."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import threading
 import time
 from collections.abc import Callable
@@ -141,14 +142,38 @@
         file.close()
 
     with running(tmp_path, Raw(talk)) as (program, _, _d):
+        short = 0
         for _ in range(5):
             with program.connect() as conn:
                 conn.sendall(job())
                 code, answer = read_answer(conn.makefile("rb"))
+                short += len(answer.body) < len(LONG)
                 assert code == 200 and LONG.startswith(answer.body)
                 assert answer.headers["content-length"] == str(len(LONG))
         counters = program.counters()
         assert counters["owed"] == 0 and counters["answers_begun"] == 5
+        # Told by the reset, at once, and not by the time for a stream that stands still.
+        assert counters.get("answers_cut_off", 0) == short
+
+
+def test_half_an_answer_with_a_reset_behind_it_is_known_at_once(tmp_path: Path) -> None:
+    process: list[subprocess.Popen[bytes]] = []
+
+    def talk(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        process[0].send_signal(signal.SIGSTOP)  # so that it hears of both in one
+        conn.sendall(ok(b"x" * 100)[:-50])
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+        file.close()
+        process[0].send_signal(signal.SIGCONT)
+
+    with running(tmp_path, Raw(talk)) as (program, _, _d):
+        process.append(program.process)
+        assert program.ask(job("pay", b"x"))[0] == 500
+        counters = program.counters()
+        assert counters["claim_broken"] == 1 and "claim_given_up" not in counters
 
 
 def test_submitter_that_leaves_within_a_long_answer_ends_it_at_the_node(tmp_path: Path) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -569,3 +569,17 @@
         assert isinstance(found, list) and [f.kind for f in found] == ["stray"]
         with socket.create_connection(listener.getsockname(), timeout=5.0):
             listener.accept()[0].close()
+
+
+@pytest.mark.parametrize("size", [100, 100_000])
+def test_reset_behind_bytes_is_told(world: World, size: int) -> None:
+    """The bytes of the reset's own event are read, and then its error: uvloop does not call again for it."""
+    link = world.link()
+    world.accept()
+    assert isinstance(link.conversation, Echo)
+    talk, peer = link.conversation, world.accepted.pop()
+    peer.sendall(b"x" * size)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    peer.close()
+    world.until(lambda: talk.ended == 1)
+    assert talk.heard_all == b"x" * len(talk.heard_all) and len(world.connections.books) == 0
