Leave a silent watch after 4 s, so that the next call comes before what it misses binds

Logs of all 200 sidecars: `7.305 indigokeel n0: discovery: TimeoutError`, `7.295 indigokeel n1: discovery: TimeoutError`, ... : each gave its watch up 7.0 s after the last line (0.28 s). The list with 38 draining came at 6.84 s. A watch that falls silent is broken, and what it misses counts as told 6 s after that, so drains were binding before the sidecars had asked again.

At fault: _SILENCE in net/discovery.py. One line comes every 2 s; 4 s without one are two missed, and leave 2 s of the 6 for the next call and its wait.

--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -14,7 +14,9 @@
 _PATH = b"/catalog/members"
 _CONNECT = 2.0  # s
 _HEAD = 6.0  # s for an answer to begin: calls wait in turn there
-_SILENCE = 7.0  # s; an empty line comes every 2 s, so a watch that says nothing for this long is cut off
+# s without a line, of which one comes each 2 s, after which a watch is broken. What a silent one misses
+# counts as told 6 s after it fell silent: 2 s of these are for the next call, which waits in turn.
+_SILENCE = 4.0
 _MOST = 1 << 20  # bytes of one message
 _READ = 64 * 1024  # bytes asked of the connection at a time
 
