--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -488,6 +488,7 @@
             node_connections_open=self._pool.open,
             claims_waiting=self._pool.connections.waiting(),
             loop_lag_ms=round(self._lag * 1000.0, 1),
+            cpu_s=round(time.process_time(), 2),
         )
 
 
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -241,7 +241,8 @@
             if not reads_on:
                 with contextlib.suppress(ConnectionError):
                     assert len(file.read()) < SIZE - len(BLOCK)
-            assert old.last_counters()["owed"] == 0 and new.process.poll() is None
+            last = old.last_counters()
+            assert last["owed"] == 0 and 0.0 < last["cpu_s"] < WAIT and new.process.poll() is None
 
 
 def test_cordons_told_to_the_old_process_while_the_new_one_starts(tmp_path: Path) -> None:
