--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -171,7 +171,7 @@
         self._sends = self._served = 1.0  # attempts and answers of late
         self._subset_now: list[Upstream] = []
         self._subset_until = -math.inf
-        self._wheel = Wheel(self._look, BUSY)  # over the subset, where that is large
+        self._wheel: Wheel[Upstream] = Wheel(self._look, BUSY)  # over the subset, where that is large
         self._asked = False
         self._watch_delay = WATCH_FIRST
         self._falling_back = False
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 from indigokeel.decision.interface import ClassSettings, Member, RequestArrived
 from indigokeel.structures.sums import Decaying, Estimate, Window, hash64
-
-if TYPE_CHECKING:
-    from indigokeel.structures.wheel import Wheel
+from indigokeel.structures.wheel import Wheel
 
 WINDOW = 3.0  # s; reports are averaged over this, as BP-65 averages three samples of one second
 QUARANTINE_FIRST = 2.0  # s; short, because the upstream may have recovered ...
@@ -50,7 +47,7 @@
         self.overdue = 0  # those of them that have been out for too long
         self.probing = False
         self.probed = -math.inf
-        self.wheel: Wheel | None = None  # the index it stands in, on large fleets
+        self.wheel: Wheel[Upstream] | None = None  # the index it stands in, on large fleets
 
     def changed(self) -> None:
         """There is news of it: it is looked at again before the next pick."""
--- a/indigokeel/structures/wheel.py
+++ b/indigokeel/structures/wheel.py
@@ -1,4 +1,4 @@
-"""An index over a large pool of upstreams: the lists and sums that a spin needs. It decides nothing.
+"""An index over a large pool of entries (upstreams): lists and sums that a spin needs. It decides nothing.
 
 Each member stands on one of two sides, survivor or struck out, with what was last seen of it. The sums of a
 side are kept as members come, change and go, in whole parts of 2**-32, so that they are exact and no error
@@ -10,21 +10,37 @@
 import heapq
 from collections.abc import Callable, Iterable
 from itertools import count
-from typing import TYPE_CHECKING
+from typing import Any, Generic, Protocol, TypeVar
 
-if TYPE_CHECKING:  # the name alone: nothing here runs the module
-    from indigokeel.decision.records import Upstream
+from indigokeel.structures.sums import Window
 
 _UNIT = float(1 << 32)
 
 
-class Side:
+class Entry(Protocol):
+    """What can stand in the index."""
+
+    rate: float  # -1: it has not reported
+    utilisation: float
+    size: float
+    ramp: float
+    view: float
+    open: int  # own attempts out
+    fresh_until: float  # clock time; until then the figures above hold
+    reports: Window
+    wheel: Wheel[Any] | None  # the index it stands in
+
+
+E = TypeVar("E", bound=Entry)
+
+
+class Side(Generic[E]):
     """The members on one side, in a list from which one can be drawn, and their sums."""
 
     __slots__ = ("_known", "_rates", "_views", "known", "members", "open", "warm")
 
     def __init__(self) -> None:
-        self.members: list[Upstream] = []
+        self.members: list[E] = []
         self._rates = self._views = 0
         self.known = 0  # members with reports
         self.warm = 0
@@ -37,7 +53,7 @@
     def views(self) -> float:
         return self._views / _UNIT
 
-    def count(self, seen: _Seen, sign: int) -> None:
+    def count(self, seen: _Seen[E], sign: int) -> None:
         self._rates += sign * seen.rate
         self._views += sign * seen.view
         self.known += sign * seen.known
@@ -45,16 +61,16 @@
         self.open += sign * seen.open
 
 
-class _Seen:
+class _Seen(Generic[E]):
     """What a member adds to the sums of its side, and where in its list it stands."""
 
     __slots__ = ("known", "open", "place", "rate", "side", "view", "warm")
 
-    def __init__(self, side: Side) -> None:
+    def __init__(self, side: Side[E]) -> None:
         self.side, self.place = side, -1
         self.rate = self.view = self.known = self.warm = self.open = 0
 
-    def take(self, upstream: Upstream) -> None:
+    def take(self, upstream: Entry) -> None:
         self.known = int(upstream.rate >= 0.0)
         self.rate = int(upstream.rate / upstream.size * _UNIT) if self.known else 0
         self.view = int(upstream.view * _UNIT)
@@ -62,24 +78,24 @@
         self.open = upstream.open
 
 
-class Wheel:
-    """A pool of upstreams, ready to be drawn from."""
+class Wheel(Generic[E]):
+    """A pool of entries, ready to be drawn from."""
 
-    def __init__(self, look: Callable[[float, Upstream], None], busy: float) -> None:
+    def __init__(self, look: Callable[[float, E], None], busy: float) -> None:
         """``look`` brings what is known of an upstream up to date; over ``busy`` it is struck out."""
         self._look, self._busy = look, busy
-        self._seen: dict[Upstream, _Seen] = {}
-        self._due: list[tuple[float, int, Upstream]] = []  # when a report falls out of a member's window
-        self._queued: set[Upstream] = set()
+        self._seen: dict[E, _Seen[E]] = {}
+        self._due: list[tuple[float, int, E]] = []  # when a report falls out of a member's window
+        self._queued: set[E] = set()
         self._serial = count()
-        self.survivors, self.struck = Side(), Side()
-        self.news: dict[Upstream, None] = {}  # members that there is news of
+        self.survivors, self.struck = Side[E](), Side[E]()
+        self.news: dict[E, None] = {}  # members that there is news of
         self.most = 0.0  # no member's view is over this
 
     def __len__(self) -> int:
         return len(self._seen)
 
-    def fill(self, now: float, members: Iterable[Upstream]) -> None:
+    def fill(self, now: float, members: Iterable[E]) -> None:
         """Make the pool consist of these."""
         wanted = dict.fromkeys(members)
         for upstream in [u for u in self._seen if u not in wanted]:
@@ -106,7 +122,7 @@
             if upstream.wheel is self:
                 self.look(now, upstream)
 
-    def look(self, now: float, upstream: Upstream) -> bool:
+    def look(self, now: float, upstream: E) -> bool:
         """Look at a member now; whether it is a survivor."""
         self._look(now, upstream)
         seen = self._seen[upstream]
@@ -124,23 +140,23 @@
             self.most = upstream.view
         return side is self.survivors
 
-    def opened(self, upstream: Upstream, change: int) -> None:
+    def opened(self, upstream: E, change: int) -> None:
         """An attempt on a member began or ended."""
         seen = self._seen[upstream]
         seen.open += change
         seen.side.open += change
 
-    def _side(self, upstream: Upstream) -> Side:
+    def _side(self, upstream: E) -> Side[E]:
         return self.survivors if upstream.utilisation <= self._busy else self.struck
 
-    def _join(self, now: float, upstream: Upstream, seen: _Seen) -> None:
+    def _join(self, now: float, upstream: E, seen: _Seen[E]) -> None:
         seen.take(upstream)
         seen.place = len(seen.side.members)
         seen.side.members.append(upstream)
         seen.side.count(seen, 1)
         self._queue(upstream)
 
-    def _leave(self, upstream: Upstream, seen: _Seen) -> None:
+    def _leave(self, upstream: E, seen: _Seen[E]) -> None:
         members = seen.side.members
         last = members.pop()
         if last is not upstream:
@@ -148,7 +164,7 @@
             self._seen[last].place = seen.place
         seen.side.count(seen, -1)
 
-    def _queue(self, upstream: Upstream) -> None:
+    def _queue(self, upstream: E) -> None:
         if upstream not in self._queued and upstream.reports:
             self._queued.add(upstream)
             heapq.heappush(self._due, (upstream.reports.due(), next(self._serial), upstream))
