End the quarantine of a silent node as soon as it answers

Ruled out: a hang or a death of the node (it answers before and after); refusals and errors (none there); the sidecar's own pause (other nodes' claims end at 763.048, 763.055, 763.063). At fault: Balancer._learn and _failed. Two time-outs in one pause count as four failures, rightly, for a hang looks like that; but the answer that shows it was none changed nothing until the time was over.

Now a quarantine for time-outs ends with the first answer; one for errors stays, for a sick node answers between its errors. Option rejected: counting the time-outs of one pause as one. A true hang would then be left only an aim or more later.

test_quarantine_of_a_silent_upstream_ends_once_it_answers fails without it.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -521,7 +521,7 @@
         """Take in failures that speak of the fleet and not of the one upstream."""
         self._failure_share = 1.0 - (1.0 - self._failure_share) * 0.97**failures
 
-    def _failed(self, now: float, upstream: Upstream, weight: int = 1) -> None:
+    def _failed(self, now: float, upstream: Upstream, weight: int = 1, silent: bool = False) -> None:
         upstream.failures += weight
         common = min(max(self._failure_share, 0.01), 0.99)
         enough = min(math.ceil(math.log(QUARANTINE_DOUBT) / math.log(common)), QUARANTINE_MOST)
@@ -533,7 +533,7 @@
                 # A quiet sidecar would not have come back any sooner: its time out must outlast that.
                 visits = len(self._subset_now) / (self._arrivals.value(now) / RATE_TAU + 0.1)
                 time_out = max(upstream.jail_time, QUARANTINE_VISITS * visits)
-                upstream.jailed_until = now + min(time_out, QUARANTINE_LONGEST)
+                upstream.jailed_until, upstream.silent = now + min(time_out, QUARANTINE_LONGEST), silent
                 self._subset_until = -math.inf
                 upstream.jail_time = min(upstream.jail_time * 2.0, QUARANTINE_LONGEST)
                 upstream.failures = enough - 1  # on its return one more failure is enough
@@ -661,6 +661,10 @@
                 self._copy_tokens = min(self._copy_tokens, RETRY_BURST)
             upstream.failures, upstream.answered = 0, now
             upstream.jail_time = QUARANTINE_FIRST
+            if upstream.silent and upstream.jailed_until > now:
+                # It paused. Guards against doing without a sound one for 2 s, where the rest have no room.
+                upstream.jailed_until, self._subset_until = now, -math.inf
+                self._actions.append(Log(f"quarantine ends: {upstream.member.id} answers"))
             upstream.felt(now, event.elapsed / attempt.expected)
             request.stats.seen(event.elapsed, request.hint)
         elif ending is Ending.CANCELLED:
@@ -675,7 +679,7 @@
                 # jam: it turns the work of one full upstream on the others. Far beyond any queue it is a
                 # hang, and a quiet sidecar may meet that but once.
                 if upstream.answered < attempt.sent:
-                    self._failed(now, upstream, 2 if event.elapsed > HANG_FELT * attempt.expected else 1)
+                    self._failed(now, upstream, 1 + (event.elapsed > HANG_FELT * attempt.expected), True)
         elif ending in (Ending.ERROR, Ending.BROKEN, Ending.NO_CONNECTION, Ending.REFUSED):
             upstream.felt(now, FAILURE_FELT)
             if ending is Ending.REFUSED:
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -23,7 +23,7 @@
     __slots__ = (
         "answered", "capacity", "errors", "failures", "fresh_until", "health_sum", "health_weight",
         "jail_time", "jailed_until", "member", "open", "overdue", "probed", "probing", "ramp", "rate",
-        "reports", "salt", "scale", "size", "utilisation", "view", "wheel",
+        "reports", "salt", "scale", "silent", "size", "utilisation", "view", "wheel",
     )  # fmt: skip
 
     def __init__(self, member: Member, group: Estimate) -> None:
@@ -43,6 +43,7 @@
         self.size = self.ramp = self.view = 1.0
         self.jailed_until = 0.0
         self.jail_time = QUARANTINE_FIRST
+        self.silent = False  # it was put in quarantine for saying nothing, not for errors
         self.open = 0  # own attempts out
         self.overdue = 0  # those of them that have been out for too long
         self.probing = False
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -157,6 +157,34 @@
     assert any(log.text == f"quarantine: {bad}" for log in logs) is quarantined
 
 
+@pytest.mark.parametrize(("ending", "ends"), [(api.Ending.TIMEOUT, True), (api.Ending.ERROR, False)])
+def test_quarantine_of_a_silent_upstream_ends_once_it_answers(
+    driver: Driver, ending: api.Ending, ends: bool
+) -> None:
+    """Found on a day with a release: a pause of 0.17 s put the largest upstream aside everywhere, for 2 s
+    in which the others had no room. One that fails and answers in turn is not trusted by one answer."""
+    driver.serve(100)
+    bad = make_members(6)[0].id
+    waiting: list[api.Send] = []
+    driver.now += 0.01
+    while len(waiting) < 12:  # sent while it is silent
+        send = sends(driver.request()[1])[0]
+        if send.upstream == bad:
+            waiting.append(send)
+        else:
+            driver.end(send)
+    last, logs = waiting.pop(), list[str]()
+    driver.now += 0.5
+    while waiting and f"quarantine: {bad}" not in logs:
+        logs += [log.text for log in of(driver.end(waiting.pop(), ending, elapsed=0.5), api.Log)]
+    assert f"quarantine: {bad}" in logs
+    logs += [log.text for log in of(driver.end(last, elapsed=0.6), api.Log)]
+    assert (f"quarantine ends: {bad} answers" in logs) is ends
+    driver.now += 0.01
+    got = {sends(driver.request()[1])[0].upstream for _ in range(60)}
+    assert (bad in got) is ends
+
+
 def test_most_of_the_fleet_is_never_quarantined(driver: Driver) -> None:
     all_bad = {m.id: api.Ending.ERROR for m in make_members(6)}
     assert len(driver.serve(200, all_bad)) >= 3
