Keep the node that answers with 32 MB once, for the tests of bodies and of upgrades

Read again: test_upgrades.py wrote the node of test_bodies.py's test of a slow reader a second time; it stands in tests/peers.py now. The assertions are as they were.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -143,6 +143,18 @@
             self.talk(conn, file)
 
 
+SIZE, BLOCK = 32 << 20, os.urandom(1 << 20)
+
+
+def long_answer(conn: socket.socket, file: Any) -> None:
+    """What a raw node does: one answer of 32 MB, the same block over and over."""
+    while file.readline().strip():
+        pass
+    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+    for _ in range(SIZE // len(BLOCK)):
+        conn.sendall(BLOCK)
+
+
 class Discovery(Peer):
     """Discovery: keeps each watch open and sends on it what is pushed."""
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -18,6 +18,8 @@
 from indigokeel.net.bodies import Stream, Upload
 from indigokeel.net.exchange import Exchange, UnsoundError
 from tests.peers import (
+    BLOCK,
+    SIZE,
     WAIT,
     Discovery,
     Message,
@@ -26,6 +28,7 @@
     echo,
     entry,
     job,
+    long_answer,
     machine_list,
     ok,
     read_answer,
@@ -83,16 +86,7 @@
 
 
 def test_32_mb_to_a_slow_reader_take_no_memory(tmp_path: Path) -> None:
-    size, block = 32 << 20, os.urandom(1 << 20)
-
-    def talk(conn: socket.socket, file: Any) -> None:
-        while file.readline().strip():
-            pass
-        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
-        for _ in range(32):
-            conn.sendall(block)
-
-    with running(tmp_path, Raw(talk)) as (program, _, _d):
+    with running(tmp_path, Raw(long_answer)) as (program, _, _d):
         assert program.counters()["owed"] == 0
         before, most, got = rss(program), 0, 0
         with program.connect() as conn:
@@ -101,9 +95,9 @@
             while file.readline().strip():
                 pass
             time.sleep(0.3)  # reads nothing for a while: what was sent waits at the node
-            while got < size:
-                data = file.read(min(1 << 20, size - got))
-                assert data == block[: len(data)]
+            while got < SIZE:
+                data = file.read(min(1 << 20, SIZE - got))
+                assert data == BLOCK[: len(data)]
                 got += len(data)
                 most = max(most, rss(program))
         until(lambda: program.counters()["node_connections_open"] <= 1)
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -16,6 +16,8 @@
 import pytest
 
 from tests.peers import (
+    BLOCK,
+    SIZE,
     WAIT,
     Discovery,
     Message,
@@ -25,6 +27,7 @@
     echo,
     entry,
     job,
+    long_answer,
     machine_list,
     operators,
     read_answer,
@@ -207,20 +210,9 @@
         assert old.process.wait(WAIT) == 0
 
 
-SIZE, BLOCK = 32 << 20, os.urandom(1 << 20)
-
-
-def _long_answer(conn: socket.socket, file: Any) -> None:
-    while file.readline().strip():
-        pass
-    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
-    for _ in range(SIZE // len(BLOCK)):
-        conn.sendall(BLOCK)
-
-
 @pytest.mark.parametrize("reads_on", [True, False])
 def test_old_process_within_32_mb_brings_them_to_their_end_or_shows(tmp_path: Path, reads_on: bool) -> None:
-    with _platform(tmp_path, Raw(_long_answer)) as (_, _nodes, start):
+    with _platform(tmp_path, Raw(long_answer)) as (_, _nodes, start):
         old = start()
         with old.connect() as conn:
             conn.sendall(job())
