Keep the watch where lists are pushed, and open a silent one anew within 3 s

Now: where lists are pushed the watch is kept without an order, opened anew at once (0.05 s after a call that was not answered), and the list as last had is used once the agent has spoken, at the latest after 1.5 s; jobs wait for that. A silent watch or call is left after 3 s and opened anew at once, once more with 6 s for a call that may wait. Silence is the time since the last whole line, not since the last byte. Lists may be indented over lines.

--- a/indigokeel/machine_list.py
+++ b/indigokeel/machine_list.py
@@ -18,6 +18,10 @@
     """A message that is not a machine list."""
 
 
+class NotJSONError(ListError):
+    """... for it is no JSON at all, or not yet."""
+
+
 @dataclass(frozen=True, slots=True)
 class Machine:
     """One execute node as the machine list names it."""
@@ -101,5 +105,5 @@
     try:
         data = orjson.loads(message)
     except orjson.JSONDecodeError as error:
-        raise ListError(f"not JSON: {error}") from None
+        raise NotJSONError(f"not JSON: {error}") from None
     return machine_list(data)
--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -4,23 +4,33 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from enum import Enum
 
 import httptools
 
-from indigokeel.machine_list import ListError, MachineList, decode
+from indigokeel.machine_list import ListError, MachineList, NotJSONError, decode
 from indigokeel.net import http
 from indigokeel.net.counters import Counters
 
 _PATH = b"/catalog/members"
 _CONNECT = 2.0  # s
-_HEAD = 6.0  # s for an answer to begin: calls wait in turn there
-# s without a line, of which one comes each 2 s, after which a watch is broken. What a silent one misses
-# counts as told 6 s after it fell silent: 2 s of these are for the next call, which waits in turn.
-_SILENCE = 4.0
+# s without a line, of which one comes each 2 s, after which a watch is broken: half as much again. What a
+# silent one misses counts as told 6 s after it fell silent, and it may fall silent before its answer begins.
+# The rest of the 6 s is for the next call, which waits in turn and may be refused once.
+_SILENCE = 3.0
+_WAIT = 6.0  # s for an answer to begin, where the call before had none either: discovery has many callers
+_AGENT = 0.05  # s before an agent that pushes is called again, which serves this machine alone
+_PACE = 32_000  # bytes of a message for which its line gets a second more
 _MOST = 1 << 20  # bytes of one message
 _READ = 64 * 1024  # bytes asked of the connection at a time
 
 
+class _Ending(Enum):
+    """How a call ended: with its answer whole, with none or a bad one, or by saying nothing any more."""
+
+    WHOLE, FAILED, SILENT = range(3)
+
+
 class Discovery:
     """Keeps a watch while one is wanted and hands each list on."""
 
@@ -30,13 +40,17 @@
         counters: Counters,
         listed: Callable[[MachineList], None],
         failed: Callable[[], None],
+        first: Callable[[], None] = lambda: None,
     ) -> None:
+        """``listed`` takes each list, ``failed`` is called for each call that failed or watch that ended,
+        ``first`` once, before the list of the first call that was answered."""
         self._address, self._counters = address, counters
-        self._listed, self._failed = listed, failed
+        self._listed, self._failed, self._first = listed, failed, first
         self._watches: dict[int, asyncio.Task[None]] = {}  # by serial number: one, but while it moves
         self._begun = 0  # watches so far
         self._open: dict[asyncio.StreamWriter, int] = {}  # calls that are up, with their descriptors
         self.version = 0
+        self.pushed = False  # lists come from an agent of this machine: the watch is kept without an order
         self.answered = False  # once a call was: what changed since the version asked for comes at once
 
     def descriptors(self) -> list[int]:
@@ -70,7 +84,7 @@
         assert task is not None
         self._watches[mine] = task
         try:
-            await self._call(b"%s?watch=1&after=%d" % (_PATH, self.version), up)
+            await self._keep_watching(up)
         except asyncio.CancelledError:
             if mine == self._begun:  # not by a newer watch, but because the program ends
                 raise
@@ -81,43 +95,72 @@
             self._counters.add("watches_ended")
             self._failed()
 
+    async def _keep_watching(self, up: Callable[[], None]) -> None:
+        """Watch until a call ends otherwise than by silence. One that falls silent is opened anew at once:
+        no answer said that discovery has too many callers, and what it misses is bound to a clock. Where
+        lists are pushed, a watch is wanted for good: what the agent has counts as told without one, too."""
+        patience = _SILENCE
+        while True:
+            answered = False
+
+            def answering() -> None:
+                nonlocal answered
+                answered = True
+                up()
+
+            target = b"%s?watch=1&after=%d" % (_PATH, self.version)
+            ending = await self._call(target, answering, patience)
+            if ending is _Ending.SILENT:
+                self._counters.add("watches_silent")
+            if self.pushed:
+                if not answered:
+                    await asyncio.sleep(_AGENT)
+            elif ending is not _Ending.SILENT or (not answered and patience == _WAIT):
+                return
+            patience = _WAIT if ending is _Ending.SILENT and not answered else _SILENCE
+
     async def fetch(self) -> None:
         """Ask for the whole list once."""
-        if not await self._call(_PATH):
+        if await self._call(_PATH) is not _Ending.WHOLE:
             self._failed()
 
-    async def _call(self, target: bytes, up: Callable[[], None] = lambda: None) -> bool:
-        """Hand on each message of one call; False if it failed before its end. ``up`` is called once it
-        is answered."""
+    async def _call(
+        self, target: bytes, up: Callable[[], None] = lambda: None, patience: float = _WAIT
+    ) -> _Ending:
+        """Hand on each message of one call. ``up`` is called once it is answered, which may take
+        ``patience`` seconds."""
         self._counters.add("discovery_calls")
         writer = None
+        connected = False
         try:
             async with asyncio.timeout(_CONNECT):
                 reader, writer = await asyncio.open_connection(*self._address)
+            connected = True
             self._open[writer] = writer.get_extra_info("socket").fileno()
             writer.write(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, http.host(self._address)))
             answer = _Answer(reader)
-            async with asyncio.timeout(_HEAD):
+            async with asyncio.timeout(patience):
                 await answer.head()
             if answer.status != 200:
                 self._counters.add("discovery_refusals")
-                return False
+                return _Ending.FAILED
+            if not self.answered:
+                self.answered = True
+                self._first()
             up()
-            self.answered = True
-            async for line in answer.lines():
-                news = decode(line)
+            async for news in answer.lists():
                 if not news.whole and news.version < self.version:
                     continue  # the watch before this one has told it already, and more
                 self.version = news.version
                 self._counters.add("machine_lists")
                 self._listed(news)
-            return True
+            return _Ending.WHOLE
         except Exception as error:
             # Broken, too slow, not a machine list: whatever it was, the call has failed and is told so,
             # or the module would wait for ever and the list grow old.
             self._counters.add("discovery_failures")
             self._counters.log(f"discovery: {type(error).__name__}: {error}")
-            return False
+            return _Ending.SILENT if connected and isinstance(error, TimeoutError) else _Ending.FAILED
         finally:
             if writer is not None:
                 self._open.pop(writer, None)
@@ -162,19 +205,48 @@
             if size > _MOST // _READ or not await self._read():
                 raise ListError("an answer without a head")
 
-    async def lines(self) -> AsyncIterator[bytes]:
-        """The lines of the body; empty ones, which only show that it lives, are left out."""
-        more = True
+    async def lists(self) -> AsyncIterator[MachineList]:
+        """The lists of the body: each on one line, or indented over many. Empty lines, which only show that
+        it lives, are left out. Raises TimeoutError once it is silent: where no line becomes whole in time,
+        whatever bytes come, or no message does."""
+        clock = asyncio.get_running_loop().time
+        heard, more, begun = clock(), True, b""  # a message that goes on over lines
         while more:
             *whole, self._rest = self._rest.split(b"\n")
-            if len(self._rest) > _MOST:
+            if len(begun) + len(self._rest) > _MOST:
                 raise ListError("a message without an end")
             for line in whole:
                 if line.strip():
-                    yield line
+                    news = _read_list(begun, line)
+                    begun = b"" if news is not None else begun + line
+                    if news is not None:
+                        yield news
+            if whole and not begun:
+                heard = clock()
             if self._complete:
                 break
-            async with asyncio.timeout(_SILENCE):
+            size = len(begun) + len(self._rest)
+            async with asyncio.timeout_at(heard + _SILENCE + size / _PACE):
                 more = await self._read()
-        if self._rest.strip():
-            yield self._rest
+        if begun or self._rest.strip():
+            yield decode(begun + self._rest)
+
+
+def _read_list(begun: bytes, line: bytes) -> MachineList | None:
+    """The list that ends with this line, or None where it goes on; ``begun`` is what came of it before.
+    Raises ListError on a line that belongs to none."""
+    text = line.strip()
+    if not begun and text[:1] != b"{":
+        raise ListError("a line that is no list")
+    if not text.endswith(b"}"):
+        # It may go on, but between two of its parts: no string holds the end of a line, and ``{`` opens one.
+        if text.count(b'"') % 2 or (not begun and text[1:].lstrip()[:1] not in (b"", b'"')):
+            raise ListError("a line that breaks off")
+        return None
+    try:
+        return decode(begun + line)
+    except NotJSONError:
+        # The last of an indented list's entries ends so, too; a whole object on its line is the next list.
+        if not begun or line.startswith(b"{"):
+            raise
+        return None
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -80,8 +80,11 @@
             config.seed,
             warm=config.settings.prices.connection <= 0.0 and config.settings.prices.handshake <= 0.0,
         )
-        self._discovery = Discovery(config.discovery, self._counters, self._listed, self._list_failed)
-        self._discovery.version = config.known.version
+        self._discovery = Discovery(
+            config.discovery, self._counters, self._listed, self._list_failed, self._use_known
+        )
+        self._discovery.pushed = not config.settings.ask_membership
+        self._known: MachineList | None = None  # the list as last had, until it is taken in
         self._waiting: dict[str, tuple[Session, Task]] = {}  # jobs whose answer is awaited
         self._sessions: dict[Session, None] = {}
         self._newcomers: dict[Session, None] = {}  # those that have brought no job, in the order they came
@@ -236,6 +239,16 @@
             now = time.monotonic()
             self._carry_out(self._facade.probed(now, node, outcome, now - began, load))
 
+    def _use_known(self) -> None:
+        """Take in the list as last had, and what the process before had learnt of its nodes; once."""
+        known, self._known = self._known, None
+        if known is None:
+            return
+        self._carry_out(self._facade.listed(time.monotonic(), known, cached=True))
+        learned, self._learned = self._learned, None
+        if learned is not None:
+            self._carry_out(self._facade.learn(time.monotonic(), learned))
+
     def _listed(self, news: MachineList) -> None:
         self._listed_at = time.time()
         self._carry_out(self._facade.listed(time.monotonic(), news))
@@ -326,11 +339,14 @@
             found = self._take_over() if self._left is not None else None
             if found is not None and found.version >= known.version:
                 known = found
-            self._discovery.version = known.version
-            self._carry_out(self._facade.listed(time.monotonic(), known, cached=True))
-            if self._learned is not None:
-                self._carry_out(self._facade.learn(time.monotonic(), self._learned))
-                self._learned = None
+            self._discovery.version, self._known = known.version, known
+            if self._discovery.pushed:
+                # What the agent has binds from the first moment on: no job is sent by the old list alone,
+                # unless the agent is silent. Until then there is no node, and jobs are held.
+                self._spawn("watch", self._discovery.watch)
+                loop.call_later(_FIRST_LIST, self._use_known)
+            else:
+                self._use_known()
             if self._left is not None:
                 self._spawn("sync", self._sync)
             if self._config.mgmt is not None:
@@ -385,6 +401,7 @@
         self._facade.reconfigure(settings)
         self._pool.reconfigure(settings.limits.connect_timeout, settings.limits.keepalive)
         self._config, self.settings = config, settings
+        self._discovery.pushed = not settings.ask_membership
         self._counters.add("reloads")
         self._counters.log(f"a new configuration: classes {', '.join(cls.name for cls in settings.classes)}")
         self._spawn("move", self._discovery.move, config.discovery)
