End client connections in one place, lingering, and answer and write out all before SIGKILL

No fault: a request that comes between idle() and the close (its client sends it again); a second SIGTERM or a SIGHUP in the shutdown; a burst of 200 clients that leave while there is no node; a flood behind a 400.

Now Session.close is the one orderly end: flush, shut down the own side, read and discard up to 256 KiB, close at the peer's end or after 1 s. What is not read is asked of the system five times a second for its peer's end. In the shutdown every open request has its last word 0.2 s before SIGKILL may come, by the settings' longest deadline (before: only with an inherited listener, and only for requests taken later), and the process waits for what is unwritten. The books of client connections moved to net/client_connections.py, without I/O; those that had their last word go first where room is needed.

--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -183,6 +183,13 @@
             self._end_claim(now, job, claim.number, outcome, orders, load)
         return orders
 
+    def finish(self, by: float) -> None:
+        """The process ends: every open job has its last word at clock time ``by`` or before."""
+        for job in self._jobs.values():
+            if not job.over and job.answer_by > by:
+                job.answer_by = by
+                self._enter(by, partial(self._expire, job), job)
+
     def left(self, now: float, job_id: str) -> Orders:
         """The submitter is gone: nothing more is owed."""
         orders = Orders()
@@ -190,8 +197,12 @@
         if job is not None and not job.over:
             self._over(job)
             self._feed(now, api.ClientLeft(job_id), orders, job)
-            for number in range(len(job.claims) if job.long else 0):
-                self._give_up(now, job, number, orders)
+            for number, claim in enumerate(job.claims):
+                if job.long:
+                    self._give_up(now, job, number, orders)
+                elif not claim.begun and not claim.ended:  # nothing of it was sent, and nothing will be
+                    orders.given_up.append((job.id, number))
+                    self._end_claim(now, job, number, Outcome.MOOT, orders)
         return orders
 
     def tick(self, now: float) -> Orders:
@@ -341,8 +352,10 @@
         self._close(job)
 
     def _fail(self, now: float, job: _OpenJob, orders: Orders) -> None:
+        """The last word, where the module gave none: what cannot have run may be asked again."""
         self._over(job)
-        orders.answers.append(Answer(job.id, Verdict.FAILED))
+        ran = any(claim.may_have_run for claim in job.claims)
+        orders.answers.append(Answer(job.id, Verdict.FAILED if ran else Verdict.REFUSED))
         self._feed(now, api.ClientLeft(job.id), orders, job)
 
     def _give_up(self, now: float, job: _OpenJob, number: int, orders: Orders) -> None:
--- /dev/null
+++ b/indigokeel/net/client_connections.py
@@ -0,0 +1,94 @@
+"""Which client connections are open, and which one goes when there are too many. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, Protocol, TypeVar
+
+# Of all descriptors: with more connections that brought a request than this, each ends with its answer.
+# Guards against clients that run out of their own share, a third, over connections that nobody uses any more.
+_CROWD = 1 / 6
+_YOUNG = 0.3  # s in which one that has brought no request yet is left alone, where others can go
+_MAY_CLOSE = 2.0  # s without an open request after which a client reckons with a close
+_STUCK = 0.5  # s without more of it after which half a message keeps no connection, where room is needed
+
+
+class Connection(Protocol):
+    """One client connection, as its session tells of it."""
+
+    def idle(self) -> bool: ...
+
+    def idle_for(self, now: float) -> float: ...
+
+    def stuck_for(self, now: float) -> float: ...
+
+    def unwritten(self) -> bool: ...
+
+    def __hash__(self) -> int: ...
+
+
+C = TypeVar("C", bound=Connection)
+
+
+class ClientConnections(Generic[C]):
+    """All of them, by what they are good for."""
+
+    def __init__(self, descriptors: int, most: int) -> None:
+        """``descriptors`` that the process may hold; ``most`` of these for clients."""
+        self._crowd, self._most = max(int(descriptors * _CROWD), 4), most
+        self._all: dict[C, None] = {}
+        self._newcomers: dict[C, None] = {}  # those that have brought no request, in the order they came
+        self._workers: dict[C, None] = {}  # the others, by their last request
+        self._ending: dict[C, None] = {}  # those that had their last word, in that order
+
+    def __len__(self) -> int:
+        return len(self._all)
+
+    def __iter__(self) -> Iterator[C]:
+        """All that are open now; any of them may go meanwhile."""
+        return iter(list(self._all))
+
+    def joined(self, connection: C) -> bool:
+        """One more; False where one has to go for it."""
+        self._all[connection] = self._newcomers[connection] = None
+        return len(self._all) <= self._most
+
+    def brought(self, connection: C) -> None:
+        """It has brought a request: it goes to the young end of the workers."""
+        self._newcomers.pop(connection, None)
+        self._workers.pop(connection, None)
+        self._workers[connection] = None
+
+    def ending(self, connection: C) -> None:
+        """It had its last word and waits for its peer's."""
+        self._newcomers.pop(connection, None)
+        self._workers.pop(connection, None)
+        self._ending[connection] = None
+
+    def gone(self, connection: C) -> None:
+        for connections in (self._all, self._newcomers, self._workers, self._ending):
+            connections.pop(connection, None)
+
+    def crowded(self) -> bool:
+        """Whether they have become so many that each ends with its answer."""
+        return len(self._workers) > self._crowd
+
+    def to_close(self, newest: C, now: float) -> C:
+        """Which one goes so that the newest has a place; perhaps that itself. Guards against crowds: what
+        had its last word goes first; then those that never brought a request, the oldest of them, for on one
+        that did another may be on its way. Looked for from the old end, since a crowd may come by hundreds a
+        second."""
+        ending = next((c for c in self._ending if not c.unwritten()), None)
+        if ending is not None:
+            return ending
+        found = next((c for c in self._others(newest) if c.idle() and c.idle_for(now) > _YOUNG), None)
+        if found is None:
+            found = next((c for c in self._newcomers if c.stuck_for(now) > _STUCK), None)
+        if found is None:  # the one that did nothing for longest, where that is long
+            found = next((c for c in self._workers if c.idle()), newest)
+            if found is not newest and found.idle_for(now) < _MAY_CLOSE:
+                found = next((c for c in self._others(newest) if c.idle()), found)
+        return found
+
+    def _others(self, newest: C) -> Iterator[C]:
+        return (connection for connection in self._newcomers if connection is not newest)
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -39,6 +39,13 @@
     return bool(poll.poll(0))
 
 
+def hung_up(fd: int) -> bool:
+    """Whether the peer has closed its side or reset the connection, whatever can be read before that."""
+    poll = select.poll()
+    poll.register(fd, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def write(fd: int, pieces: Sequence[bytes]) -> int:
     """Write at once what the system takes, and say how many bytes that was; raises OSError on a broken
     connection. Beside the event loop, which writes a little later and does not tell how far it came."""
--- a/indigokeel/net/jobs.py
+++ b/indigokeel/net/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 from collections.abc import Mapping
 
 from indigokeel.decision.interface import Effect, Settings
@@ -12,9 +13,34 @@
 
 _LONGEST = 3600.0  # s that a submitter may be willing to wait
 
+# A plain message, for a sidecar that is behind: its head from end to end, and what is read off it unparsed.
+_PLAIN = re.compile(rb"(?:GET|POST) [^ \r\n]+ HTTP/1\.1\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)+\r\n")
+_FRAMED = re.compile(rb"\r\n(?:transfer-encoding|connection|expect|upgrade):", re.IGNORECASE)
+_CLASS = re.compile(rb"\r\nrequest-class: *([^\r\n]+)\r", re.IGNORECASE)
+_WAIT = re.compile(rb"\r\nrequest-timeout-ms: *(\d{1,9})\r", re.IGNORECASE)
+_LENGTH = re.compile(rb"\r\ncontent-length:([^\r]*)(?=\r)", re.IGNORECASE)
+
 Headers = Mapping[bytes, bytes]  # names in lower case
 
 
+def read_plain(data: bytes) -> tuple[str, float] | None:
+    """The class of a whole and plain message and the seconds that its sender waits, or None where it is not
+    plain: then it is for the parser to say what it is."""
+    plain = _PLAIN.match(data)
+    if plain is None or _FRAMED.search(data, 0, plain.end()):
+        return None
+    head = plain.end()
+    name, wait, length = _CLASS.search(data, 0, head), _WAIT.search(data, 0, head), 0
+    lengths = _LENGTH.findall(data, 0, head)
+    if lengths:
+        if not lengths[0].strip().isdigit() or len(lengths[0]) > 8:
+            return None
+        length = int(lengths[0])
+    if name is None or wait is None or len(lengths) > 1 or len(data) != head + length:
+        return None
+    return name[1].decode("latin-1"), int(wait[1]) / 1000.0
+
+
 def read_job(method: bytes, target: bytes, headers: Headers, settings: Settings) -> tuple[Job, Task]:
     """Turn a message's head into a job and what of it goes on; raises MalformedError."""
 
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -18,6 +18,7 @@
 from indigokeel.facade import Facade
 from indigokeel.handover import HandoverError
 from indigokeel.machine_list import MachineList
+from indigokeel.net.client_connections import ClientConnections
 from indigokeel.net.connections import Audit
 from indigokeel.net.counters import Counters
 from indigokeel.net.discovery import Discovery
@@ -36,12 +37,6 @@
 _LOOK = 0.2  # s between looks at connections
 _RETIRE = 5  # looks between those at idle connections to execute nodes
 _AUDIT = 25  # looks between audits of the descriptors
-# Of all descriptors: with more connections that brought a job than this, each ends with its answer. Guards
-# against submitters that run out of their own share, a third, over connections that nobody uses any more.
-_CROWD = 1 / 6
-_YOUNG = 0.3  # s in which one that has brought no job yet is left alone, where others can go
-_MAY_CLOSE = 2.0  # s without an open job after which a submitter reckons with a close
-_STUCK = 0.5  # s without more of it after which half a message keeps no connection, where room is needed
 _BACKLOG = 512
 _STOOD = 0.02  # s by which the clock is late where the sockets are looked at first
 _SYNC = 0.05  # s between looks at what another process of this sidecar was told
@@ -49,7 +44,8 @@
 _LEARNED = 5.0  # ... and for which that is believed, but for the operators' word
 _FIRST_LIST = 1.5  # s in which discovery's first word is awaited, before this process says that it serves
 _KILLED = 3.0, 0.7  # s: SIGKILL comes the longest deadline, at most the first, and the second after SIGTERM
-_LAST = 0.15  # s before that by which all is answered and written
+_LAST = 0.15  # s before that by which all is answered and written, and this long before that it is answered
+_WRITTEN = 0.05
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
@@ -69,14 +65,14 @@
             sockets //= 2
         if config.mgmt is not None:
             sockets -= MOST_CALLS
-        self._crowd = max(int(sockets * _CROWD), 4)
-        self._most = max(int((sockets - _RESERVE) * _SUBMITTERS), 8)
+        most = max(int((sockets - _RESERVE) * _SUBMITTERS), 8)
+        self._sessions: ClientConnections[Session] = ClientConnections(sockets, most)
         self._pool = Pool(
             self._facade,
             self._counters,
             limits.connect_timeout,
             limits.keepalive,
-            max(sockets - _RESERVE - self._most, 8),
+            max(sockets - _RESERVE - most, 8),
             config.seed,
             warm=config.settings.prices.connection <= 0.0 and config.settings.prices.handshake <= 0.0,
         )
@@ -86,9 +82,6 @@
         self._discovery.pushed = not config.settings.ask_membership
         self._known: MachineList | None = None  # the list as last had, until it is taken in
         self._waiting: dict[str, tuple[Session, Task]] = {}  # jobs whose answer is awaited
-        self._sessions: dict[Session, None] = {}
-        self._newcomers: dict[Session, None] = {}  # those that have brought no job, in the order they came
-        self._workers: dict[Session, None] = {}  # the others, by their last job
         self._clock: asyncio.TimerHandle | None = None
         self._due_at = math.inf
         self._lag = 0.0
@@ -137,9 +130,9 @@
     def take(self, session: Session, arrived: float, job: Job, task: Task) -> None:
         """Take a job; its answer goes to the session, perhaps at once."""
         self._waiting[job.id] = session, task
-        self._brought(session)
+        self._sessions.brought(session)
         if self._ends_at < math.inf:  # it is answered while this process still is
-            job.budget = min(job.budget, max(self._ends_at - arrived, 0.02))
+            job.budget = min(job.budget, max(self._ends_at - _WRITTEN - arrived, 0.02))
         self._carry_out(self._facade.pick(arrived, job))
 
     def uploaded(self, job_id: str) -> None:
@@ -149,49 +142,34 @@
     def turn_away(self, session: Session, arrived: float, job_class: str, budget: float) -> float | None:
         wait = self._facade.turn_away(arrived, job_class, budget)
         if wait is not None:
-            self._brought(session)
+            self._sessions.brought(session)
         return wait
 
-    def _brought(self, session: Session) -> None:
-        """It has brought a job: it goes to the young end of the workers."""
-        self._newcomers.pop(session, None)
-        self._workers.pop(session, None)
-        self._workers[session] = None
-
     def left(self, job_id: str) -> None:
         self._waiting.pop(job_id, None)
         self._carry_out(self._facade.left(time.monotonic(), job_id))
 
     def joined(self, session: Session) -> None:
         self._counters.add("submitter_connections")
-        self._sessions[session] = self._newcomers[session] = None
-        if len(self._sessions) > self._most:
+        if not self._sessions.joined(session):
             self._make_room(session)
 
     def crowded(self) -> bool:
-        return len(self._workers) > self._crowd
+        return self._sessions.crowded()
+
+    def ending(self, session: Session) -> None:
+        self._sessions.ending(session)
 
     def gone(self, session: Session) -> None:
-        for sessions in (self._sessions, self._newcomers, self._workers):
-            sessions.pop(session, None)
+        self._sessions.gone(session)
 
     def _make_room(self, newest: Session) -> None:
-        """Close one connection so that the newest has a place. Guards against crowds: those that never
-        brought a job go first, the oldest of them, for on one that did another may be on its way. Looked
-        for from the old end, since a crowd may come by hundreds a second."""
-        now = time.monotonic()
-        others = (s for s in self._newcomers if s is not newest)
-        found = next((s for s in others if s.idle() and s.idle_for(now) > _YOUNG), None)
-        if found is None:
-            found = next((s for s in self._newcomers if s.stuck_for(now) > _STUCK), None)
-        if found is None:  # the one that did nothing for longest, where that is long
-            found = next((s for s in self._workers if s.idle()), newest)
-            if found is not newest and found.idle_for(now) < _MAY_CLOSE:
-                others = (s for s in self._newcomers if s is not newest)
-                found = next((s for s in others if s.idle()), found)
+        """Close one connection so that the newest has a place."""
+        found = self._sessions.to_close(newest, time.monotonic())
         if found is newest:
             self._counters.add("submitters_without_room")
-        self._counters.add("submitters_shed")
+        if not found.ended:
+            self._counters.add("submitters_shed")
         found.abort()
         self.gone(found)
 
@@ -316,7 +294,7 @@
             await asyncio.sleep(_LOOK)
             looks += 1
             now = time.monotonic()
-            for session in list(self._sessions):
+            for session in self._sessions:
                 session.look(now)
             if looks % _RETIRE == 0:
                 self._pool.retire(now)
@@ -407,15 +385,18 @@
         self._spawn("move", self._discovery.move, config.discovery)
 
     async def _end(self, server: asyncio.Server) -> None:
+        """Graceful shutdown: take requests for a while, answer all that was taken before SIGKILL would come,
+        and see that the answers go out."""
         self._counters.log("stopping")
         longest = max(cls.deadline for cls in self.settings.classes)
-        killed = time.monotonic() + min(longest, _KILLED[0]) + _KILLED[1]
+        # Nothing taken is answered any later, whether it came before or comes now.
+        self._ends_at = time.monotonic() + min(longest, _KILLED[0]) + _KILLED[1] - _LAST
+        self._facade.finish(self._ends_at - _WRITTEN)
+        self._wind()
         shared = self._config.listen_fd >= 0
-        if shared:
-            # Another process accepts already. What has come to this one it serves, and no connection is
-            # closed on a submitter that may be writing: each ends with its next answer, or as idle.
-            self._ends_at = killed - _LAST
-        else:
+        # With another process that accepts already, no connection is closed on a submitter that may be
+        # writing: each ends with its next answer, or as idle.
+        if not shared:
             await asyncio.sleep(_ACCEPT_ON)
         self.closing, self._accepting = True, False
         if not shared:
@@ -428,12 +409,17 @@
             if not shared:
                 if not self._anything_owed() and time.monotonic() >= patience:
                     break
-                for session in list(self._sessions):
+                for session in self._sessions:
                     if session.idle():
                         session.close()
             await asyncio.sleep(0.02)
-        for session in list(self._sessions):
+        for session in self._sessions:
             session.close()
+        # Their peers have yet to read what was written last, and to close.
+        while self._sessions and time.monotonic() < self._ends_at:
+            await asyncio.sleep(0.01)
+            for session in self._sessions:
+                session.look(time.monotonic())
         self._management.close()
 
     # --- what one process leaves for the next -----------------------------------------------------------
@@ -493,7 +479,7 @@
         return known
 
     def _anything_owed(self) -> bool:
-        return self._facade.owed > 0 or any(session.busy for session in self._sessions)
+        return self._facade.owed > 0 or any(s.busy or s.unwritten() for s in self._sessions)
 
     def _dump(self) -> None:
         self._audit.look()
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -17,7 +16,7 @@
 from indigokeel.net.counters import Counters
 from indigokeel.net.exchange import Reply, Task
 from indigokeel.net.http import MalformedError
-from indigokeel.net.jobs import read_job
+from indigokeel.net.jobs import read_job, read_plain
 from indigokeel.orders import Job, Verdict
 
 _MESSAGE_TIME = 2.5  # s from a message's first byte (of the first one: from the connection) to its last
@@ -27,16 +26,13 @@
 _PACE = 32_000  # bytes of a body for which a message gets a second more
 _ANSWER_TIME = 5.0  # s for more of an answer to be taken ...
 _STREAM_TIME = 10.0  # ... and, of one that passes in pieces, also to come
-_LINGER = 0.2  # s between the word on what cannot be read and the close, so that it can be read
+# s from the end of the own side of a connection to its close, where the peer does not close it first, and
+# bytes that are read and thrown away in that time: a close over unread bytes resets the connection, and what
+# was written last goes with it.
+_LINGER = 1.0
+_MOST_DISCARDED = 256 * 1024
 _MOST_AHEAD = 8  # messages read behind the one that is being answered
 
-# A plain message, for a sidecar that is behind: its head from end to end, and what is read off it unparsed.
-_PLAIN = re.compile(rb"(?:GET|POST) [^ \r\n]+ HTTP/1\.1\r\n(?:[!-9;-~]+:[^\r\n]*\r\n)+\r\n")
-_FRAMED = re.compile(rb"\r\n(?:transfer-encoding|connection|expect|upgrade):", re.IGNORECASE)
-_CLASS = re.compile(rb"\r\nrequest-class: *([^\r\n]+)\r", re.IGNORECASE)
-_WAIT = re.compile(rb"\r\nrequest-timeout-ms: *(\d{1,9})\r", re.IGNORECASE)
-_LENGTH = re.compile(rb"\r\ncontent-length:([^\r]*)(?=\r)", re.IGNORECASE)
-
 _STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 
@@ -77,6 +73,9 @@
 
     def joined(self, session: Session) -> None: ...
 
+    def ending(self, session: Session) -> None:
+        """It has had its last word, and only waits for its peer."""
+
     def gone(self, session: Session) -> None: ...
 
 
@@ -84,7 +83,7 @@
     """One submitter's connection. httptools calls the ``on_`` methods."""
 
     __slots__ = (
-        "_counters", "_desk", "_fresh", "_grew", "_head_size", "_headers", "_in_head", "_job",
+        "_counters", "_desk", "_discarded", "_fresh", "_grew", "_head_size", "_headers", "_in_head", "_job",
         "_keep", "_left", "_parser", "_passed", "_paused", "_queue", "_reading", "_since", "_size", "_stream",
         "_target", "_transport", "_trouble", "_upload", "_working", "busy", "ended", "fd", "heard", "job_id",
     )  # fmt: skip
@@ -113,6 +112,7 @@
         self._stream: Stream | None = None  # the long answer that is being written
         self._paused = 0.0  # since when nothing is read, because what came has to go on first
         self._left = 0  # bytes of answers that wait to be written, when last looked at
+        self._discarded = 0  # bytes that came where nothing more is read
         self.heard = False  # has sent anything at all
         self.busy = False  # a message was read whole and its answer is not written
         self.ended = False  # has had its last word, or is gone
@@ -129,6 +129,7 @@
     def data_received(self, data: bytes) -> None:
         parser = self._parser
         if parser is None:
+            self._discard(data)
             return
         self._grew = time.monotonic()
         if not self._reading and self.heard:
@@ -154,20 +155,10 @@
     def _turned_away(self, data: bytes) -> bool:
         """Turn a job away unparsed, if it is one whole and plain message and the module says so. Guards
         against the sidecar whose time goes into reading, line by line, what it then refuses."""
-        plain = _PLAIN.match(data)
-        if plain is None or _FRAMED.search(data, 0, plain.end()):
+        plain = read_plain(data)
+        if plain is None:
             return False
-        head = plain.end()
-        name, wait, length = _CLASS.search(data, 0, head), _WAIT.search(data, 0, head), 0
-        lengths = _LENGTH.findall(data, 0, head)
-        if lengths:
-            if not lengths[0].strip().isdigit() or len(lengths[0]) > 8:
-                return False
-            length = int(lengths[0])
-        if name is None or wait is None or len(lengths) > 1 or len(data) != head + length:
-            return False
-        budget = int(wait[1]) / 1000.0
-        advice = self._desk.turn_away(self, time.monotonic(), name[1].decode("latin-1"), budget)
+        advice = self._desk.turn_away(self, time.monotonic(), *plain)
         if advice is None:
             # It has passed the door, and is not asked again as it is parsed.
             self._passed = True
@@ -177,14 +168,22 @@
         self.answer(Final(Verdict.REFUSED, advice))
         return True
 
+    def eof_received(self) -> None:
+        """The submitter sends no more, which is how it leaves: whatever is still written, nothing more is
+        done for it."""
+        self._left_early()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.fd = -1
+        self._left_early()
+        self._desk.gone(self)
+
+    def _left_early(self) -> None:
         if self.busy and not self.ended:
             self._counters.add("submitters_left")
         self.ended, self._parser = True, None  # the parser holds this object: the two are let go together
         self._queue.clear()
         self._let_go()
-        self._desk.gone(self)
 
     def _let_go(self) -> None:
         """Nothing more is passed on for this submitter."""
@@ -210,26 +209,61 @@
         """How long a message that is half here has not grown, or 0."""
         return now - self._grew if self._reading and not self.busy else 0.0
 
+    # --- the end: every one goes through ``close`` or ``abort`` -----------------------------------------
+
     def close(self) -> None:
-        """Close it in order: what was written still goes out."""
-        if not self.ended:
-            self.ended = True
+        """End it in order: what was written goes out, then the own side ends, and what still comes is thrown
+        away until the peer closes or ``look`` finds that it takes too long. Nothing is parsed or taken
+        after this. One that never said anything is closed at once: nothing was written to it."""
+        if self.ended:
+            return
+        self.ended, self._parser = True, None
+        self._queue.clear()
+        self._let_go()
+        if not self.heard:
             self._transport.close()
+            return
+        self._since = time.monotonic()
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+            self._paused = 0.0
+            self._transport.resume_reading()
+            self._desk.ending(self)
 
     def abort(self) -> None:
-        """Close it at once."""
+        """Close it at once, whatever is unread or unwritten."""
         self.ended = True
         self._transport.abort()
 
+    def unwritten(self) -> bool:
+        """Whether some of what was written has not gone out yet."""
+        return self.fd >= 0 and self._transport.get_write_buffer_size() > 0
+
+    def _discard(self, data: bytes) -> None:
+        """Throw away what is not read any more. Beyond a bound it waits in the system: guards against those
+        who send 60 MB behind what was refused, and go."""
+        self._discarded += len(data)
+        if self._discarded > _MOST_DISCARDED and not self._transport.is_closing():
+            self._paused = self._paused or time.monotonic()
+            self._transport.pause_reading()
+
     def look(self, now: float) -> None:
-        """Called now and then: guards against those who say nothing, half of a message, or do not read."""
+        """Called now and then: guards against those who say nothing, half of a message, or do not read; and
+        against those who have left while nothing is read of them, so that nobody was told."""
+        if self._paused and http.hung_up(self.fd):
+            self._left_early()
+            self.abort()
+            return
         left = 0 if self.fd < 0 else self._transport.get_write_buffer_size()
         if left != self._left:
             self._left, self._since = left, now if left else self._since
         waited = now - self._since
-        if self.ended or left or self._stream is not None:
+        if left or self._stream is not None:
             if waited > (_ANSWER_TIME if self._stream is None else _STREAM_TIME):
                 self.abort()
+        elif self.ended:
+            if waited > _LINGER:
+                self.abort()
         elif self._reading and (not self.busy or self._upload is not None):
             if not self._paused and waited > _MESSAGE_TIME + self._size / _PACE:
                 self._fail(MalformedError(408, "the message took too long"))
@@ -329,7 +363,7 @@
             self._transport.pause_reading()
 
     def resume(self) -> None:
-        if self._paused and not self._transport.is_closing() and self._trouble is None:
+        if self._paused and not self._transport.is_closing() and self._parser is not None:
             self._since += time.monotonic() - self._paused  # it was not the submitter who waited
             self._paused = 0.0
             self._transport.resume_reading()
@@ -451,7 +485,6 @@
                 self.busy = False
             self._fresh = self._upload = None
             self._trouble, self._parser, self._reading, self._in_head = error, None, False, False
-            self._transport.pause_reading()
 
     def _fault(self, error: Exception) -> None:
         self._counters.add("session_faults")
@@ -462,15 +495,9 @@
         self._fail(MalformedError(500, "internal error"))
 
     def _turn_down(self, error: MalformedError) -> None:
-        """Tell the sender what is wrong, then close. Nothing more is read, for it may be 60 MB; but a close
-        with bytes unread resets the connection, so the sender gets a moment to read the answer first."""
+        """Tell the sender what is wrong, then close."""
         self._counters.add("messages_malformed")
-        self.ended, self._parser = True, None
-        self._since = time.monotonic()
-        self._transport.pause_reading()
         self._transport.write(
             b"".join(http.response(error.status, [str(error).encode() + b"\n"], close=True))
         )
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        asyncio.get_running_loop().call_later(_LINGER, self._transport.abort)
+        self.close()
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,437 @@
+"""What ends a client connection, or the process, with something still owed: each crossing forced."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from indigokeel.net.client_connections import ClientConnections
+from tests.peers import (
+    SETTINGS,
+    WAIT,
+    Message,
+    Peer,
+    Program,
+    echo,
+    entry,
+    job,
+    machine_list,
+    ok,
+    read_answer,
+    running,
+    until,
+)
+
+BIG = bytes(range(256)) * 256  # 64 KiB
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Held(Peer):
+    """A node that answers nothing until it is let."""
+
+    def __init__(self, script: Callable[[Message], bytes] = echo) -> None:
+        self.let = threading.Event()
+
+        def wait(message: Message) -> bytes:
+            self.let.wait(WAIT)
+            return script(message)
+
+        super().__init__(wait)
+
+
+def reset(conn: socket.socket) -> None:
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    conn.close()
+
+
+def read_all(conn: socket.socket) -> bytes:
+    """All bytes up to the end of the stream; a reset raises."""
+    got = b""
+    while data := conn.recv(1 << 16):
+        got += data
+    return got
+
+
+def sum_up(**classes: float) -> dict[str, Any]:
+    """The settings with other deadlines."""
+    named = [
+        {**cls, "deadline-s": classes.get(cls["name"], cls["deadline-s"])} for cls in SETTINGS["classes"]
+    ]
+    return {**SETTINGS, "classes": named}
+
+
+# --- bytes that are unread when a connection ends -----------------------------------------------------------
+
+
+@pytest.mark.parametrize("behind", [job(), b"noise" * 4, b"x" * 150_000, job() * 12])
+def test_last_answer_arrives_whole_over_bytes_that_are_not_read(tmp_path: Path, behind: bytes) -> None:
+    """A close over unread bytes resets the connection, and the answer goes with it. The bytes are here
+    before the answer is: the node is held until then."""
+    with running(tmp_path, Held(lambda _: ok(BIG))) as (program, (node,), _), program.connect() as conn:
+        conn.sendall(job("pay", b"1", more="Connection: close\r\n"))
+        until(lambda: len(node.got) == 1)
+        sender = threading.Thread(target=conn.sendall, args=(behind,))
+        sender.start()
+        sender.join(WAIT)
+        program.counters()
+        node.let.set()  # type: ignore[attr-defined]
+        file = conn.makefile("rb")
+        code, answer = read_answer(file)
+        assert (code, answer.body) == (200, BIG) and answer.headers["connection"] == "close"
+        assert file.read() == b"" and len(node.got) == 1
+        until(lambda: program.counters()["submitter_connections_open"] == 1)  # the counters' own has gone
+
+
+@pytest.mark.parametrize("size", [0, 1, 100_000, 200_000])
+def test_word_on_what_is_refused_arrives_behind_a_flood(tmp_path: Path, size: int) -> None:
+    with running(tmp_path, echo) as (program, nodes, _):
+        with program.connect() as conn:
+            conn.sendall(b"garbage\r\n\r\n" + b"x" * size)
+            file = conn.makefile("rb")
+            assert read_answer(file)[0] == 400 and file.read() == b""
+        assert nodes[0].got == [] and program.ask(job())[0] == 200
+
+
+def test_flood_without_an_end_is_told_and_left_and_costs_no_memory(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, _, _d):
+        conns = [program.connect() for _ in range(8)]
+
+        def flood(conn: socket.socket) -> None:
+            with contextlib.suppress(OSError):
+                conn.sendall(b"garbage\r\n\r\n")
+                while True:
+                    conn.sendall(b"x" * 65536)
+
+        floods = [threading.Thread(target=flood, args=(conn,)) for conn in conns]
+        for one in floods:
+            one.start()
+        for one in floods:
+            one.join(WAIT)
+            assert not one.is_alive()
+        until(lambda: program.counters()["submitter_connections_open"] <= 1)
+        assert program.ask(job())[0] == 200 and program.counters()["messages_malformed"] == 8
+        for conn in conns:
+            conn.close()
+
+
+def test_nothing_that_comes_after_the_own_end_is_taken(tmp_path: Path) -> None:
+    """A connection that rests is ended, by the shutdown; its client writes when it reads the end, and rests
+    on. Nothing of that is parsed or sent on, and the shutdown does not wait for that client for good."""
+    with running(tmp_path, echo) as (program, nodes, _), program.connect() as conn:
+        conn.sendall(job())
+        file = conn.makefile("rb")
+        assert read_answer(file)[0] == 200
+        program.process.send_signal(signal.SIGTERM)
+        assert file.read() == b""
+        with contextlib.suppress(OSError):
+            conn.sendall(job("pay", b"late"))
+        assert program.process.wait(WAIT) == 0
+        counters = program.last_counters()
+        assert len(nodes[0].got) == 1 and (counters["jobs_taken"], counters["owed"]) == (1, 0)
+
+
+class Fake:
+    """A connection as ``ClientConnections`` sees it."""
+
+    def __init__(self, idle: float = 0.0, stuck: float = 0.0, unwritten: bool = False) -> None:
+        self._idle, self._stuck, self._unwritten = idle, stuck, unwritten
+
+    def idle(self) -> bool:
+        return self._idle > 0.0
+
+    def idle_for(self, now: float) -> float:
+        return self._idle
+
+    def stuck_for(self, now: float) -> float:
+        return self._stuck
+
+    def unwritten(self) -> bool:
+        return self._unwritten
+
+
+_LAST_WORD, _UNREAD, _OLD, _YOUNG = Fake(), Fake(unwritten=True), Fake(idle=1.0), Fake(idle=0.1)
+_STUCK, _BUSY, _RESTING, _RECENT = Fake(stuck=0.6), Fake(), Fake(idle=3.0), Fake(idle=0.5)
+
+
+@pytest.mark.parametrize(
+    ("newcomers", "workers", "ending", "goes"),
+    [
+        ([_OLD], [_RESTING], [_UNREAD, _LAST_WORD], _LAST_WORD),
+        ([_BUSY, _OLD], [_RESTING], [_UNREAD], _OLD),
+        ([_YOUNG, _STUCK], [_RESTING], [], _STUCK),
+        ([_YOUNG], [_BUSY, _RESTING, _RECENT], [], _RESTING),
+        ([_YOUNG], [_BUSY, _RECENT], [], _YOUNG),
+        ([], [_BUSY, _RECENT], [], _RECENT),
+        ([], [_BUSY], [_UNREAD], None),  # the newest itself
+    ],
+)
+def test_who_goes_for_the_newest(
+    newcomers: list[Fake], workers: list[Fake], ending: list[Fake], goes: Fake | None
+) -> None:
+    connections: ClientConnections[Fake] = ClientConnections(1024, len(newcomers + workers + ending))
+    for connection in (*newcomers, *workers, *ending):
+        assert connections.joined(connection)
+    for connection in workers:
+        connections.brought(connection)
+    for connection in ending:
+        connections.ending(connection)
+    newest = Fake()
+    assert not connections.joined(newest)
+    assert connections.to_close(newest, 0.0) is (goes or newest)
+    for connection in list(connections):
+        connections.gone(connection)
+    assert len(connections) == 0 and not connections.crowded()
+
+
+# --- a client that leaves while its request waits ---------------------------------------------------------
+
+
+def _half_close(conn: socket.socket) -> None:
+    conn.shutdown(socket.SHUT_WR)
+
+
+LEAVING = [socket.socket.close, reset, _half_close]
+LONG_BODY = b"y" * 90_000  # the system takes it all, so that its client's end can be seen behind it
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+@pytest.mark.parametrize(
+    "behind",
+    [
+        job("pay", b"2"),
+        job("pay", b"2") + b"noise\r\n\r\n",  # an error is noted behind it
+        job("pay", b"2") * 9,  # too many ahead
+        job("pay", LONG_BODY),  # its body is not read on
+        job("pay", b"2") + job("pay", LONG_BODY),
+    ],
+)
+def test_request_whose_client_left_behind_an_earlier_one_is_not_sent_on(
+    tmp_path: Path, behind: bytes, leave: Callable[[socket.socket], None]
+) -> None:
+    """While the reader was stopped nobody was told that the client had left, and what it had sent ahead was
+    sent on, one after the other."""
+    with running(tmp_path, Held()) as (program, (node,), _):
+        conn = program.connect()
+        conn.sendall(job("pay", b"1"))
+        until(lambda: len(node.got) == 1)
+
+        def send() -> None:
+            with contextlib.suppress(OSError):
+                conn.sendall(behind)
+
+        sender = threading.Thread(target=send)
+        sender.start()
+        sender.join(0.3)  # a long one is held up, for nothing of it is read
+        leave(conn)
+        until(lambda: program.counters().get("submitters_left", 0) == 1)
+        node.let.set()  # type: ignore[attr-defined]
+        sender.join(WAIT)
+        assert program.ask(job("pay", b"3"))[1].body == b"3"
+        assert [message.body for message in node.got] == [b"1", b"3"]
+        counters = program.counters()
+        assert (counters["owed"], counters.get("session_faults", 0)) == (0, 0)
+        conn.close()
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_requests_whose_clients_leave_in_a_burst_are_not_sent_on(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    """There is no node, so they wait; all leave at once, and then there is one."""
+    with running(tmp_path, echo, sockets=1024) as (program, (node,), discovery):
+        until(lambda: bool(discovery.watches))
+        discovery.push(json.dumps(machine_list(index=2)).encode())
+        until(lambda: program.ask(HEALTH)[0] == 503)
+        conns = [program.connect() for _ in range(200)]
+        for conn in conns:
+            conn.sendall(job(wait_ms=60_000))
+        until(lambda: program.counters().get("jobs_taken", 0) == 200)
+        for conn in conns:
+            leave(conn)
+        until(lambda: program.counters().get("submitters_left", 0) == 200)
+        discovery.push(json.dumps(machine_list(entry("s-0", node.port), index=3)).encode())
+        assert program.ask(job("pay", b"x"))[1].body == b"x"
+        assert [message.body for message in node.got] == [b"x"]
+        assert program.counters()["owed"] == 0
+        for conn in conns:
+            conn.close()
+
+
+@contextlib.contextmanager
+def deaf() -> Iterator[tuple[socket.socket, Callable[[], None]]]:
+    """A node to which no connection comes up until the second value is called."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener, contextlib.ExitStack() as stack:
+        fillers = [stack.enter_context(socket.socket()) for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+
+        def hear() -> None:
+            for filler in fillers:
+                filler.close()
+
+        yield listener, hear
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_request_whose_client_left_while_its_connection_came_up_is_not_sent_on(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    settings = {**sum_up(pay=120.0), "limits": {**SETTINGS["limits"], "connect-timeout-s": 60.0}}
+    with (
+        deaf() as (listener, hear),
+        running(tmp_path, echo, settings=settings) as (program, (node,), discovery),
+    ):
+        until(lambda: bool(discovery.watches))
+        late = entry("s-9", listener.getsockname()[1])
+        discovery.push(json.dumps(machine_list(late, index=2)).encode())
+        until(lambda: program.counters().get("machine_lists") == 1)
+        conn = program.connect()
+        conn.sendall(job("pay", b"1", wait_ms=100_000))
+        until(lambda: program.counters()["claims_waiting"] == 1)
+        leave(conn)
+        until(lambda: program.counters().get("submitters_left", 0) == 1)
+        hear()
+        assert program.counters()["claims_waiting"] == 0
+        discovery.push(json.dumps(machine_list(entry("s-0", node.port), index=3)).encode())
+        until(lambda: program.ask(job("pay", b"2"))[0] == 200)
+        # What came up late, if anything did, carries nothing.
+        listener.settimeout(1.5)
+        with contextlib.suppress(TimeoutError):
+            while True:
+                came, _ = listener.accept()
+                came.settimeout(0.2)
+                with contextlib.suppress(TimeoutError, ConnectionResetError):
+                    assert came.recv(100) == b""
+        assert program.counters()["owed"] == 0
+        conn.close()
+
+
+# --- the end of the process -------------------------------------------------------------------------------
+
+
+def test_answers_that_are_not_written_out_at_the_end_still_go_out(tmp_path: Path) -> None:
+    """Found by reading: an answer counted as written once the event loop had it, and the process ended over
+    what its client had not taken yet."""
+    with running(tmp_path, lambda _: ok(BIG)) as (program, _, _d), socket.socket() as conn:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        conn.settimeout(WAIT)
+        conn.connect(("127.0.0.1", program.port))
+        rounds = 12
+        for number in range(1, rounds + 1):
+            conn.sendall(b"".join(job("pay", b"x") for _ in range(8)))
+            until(lambda: program.counters().get("answers_written", 0) == 8 * number)  # noqa: B023
+        program.process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(Exception):  # the old program is gone by then
+            program.process.wait(1.2)
+        file = conn.makefile("rb")
+        for _ in range(8 * rounds):
+            assert read_answer(file)[1].body == BIG
+        assert file.read() == b"" and program.process.wait(WAIT) == 0
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_request_that_could_wait_longer_than_the_process_is_answered_before_it_ends(
+    tmp_path: Path, sent: bool
+) -> None:
+    """SIGKILL comes 3 s and 0.7 s after SIGTERM where the longest deadline is over 3 s: a request that was
+    taken for a minute has its one answer before that, whether its attempt hangs or it has none."""
+    with running(tmp_path, Held(), settings=sum_up(pay=60.0)) as (program, (node,), discovery):
+        if not sent:
+            until(lambda: bool(discovery.watches))
+            discovery.push(json.dumps(machine_list(index=2)).encode())
+            until(lambda: program.ask(HEALTH)[0] == 503)
+        with program.connect() as conn:
+            conn.sendall(job("pay", b"1", wait_ms=60_000))
+            until(lambda: program.counters().get("jobs_taken", 0) == 1)
+            until(lambda: len(node.got) == int(sent))
+            program.process.send_signal(signal.SIGTERM)
+            file = conn.makefile("rb")
+            code, answer = read_answer(file)
+            assert code == (500 if sent else 503) and answer.headers["connection"] == "close"
+            assert file.read() == b"" and program.process.wait(WAIT) == 0
+            assert program.last_counters()["owed"] == 0
+
+
+def test_request_in_the_moment_of_each_step_of_the_end_has_one_answer_or_none_taken(tmp_path: Path) -> None:
+    """Clients that send and rest in turn, over and over, through the whole shutdown: each request is either
+    answered whole, or its connection ended with none of it sent on."""
+    with running(tmp_path, echo) as (program, (node,), _):
+        wrong: list[object] = []
+        answered: list[bytes] = []
+        ready = threading.Barrier(9)
+
+        def client(number: int) -> None:
+            conn = program.connect()
+            file = conn.makefile("rb")
+            for turn in range(10**6):
+                body = b"%d-%d" % (number, turn)
+                try:
+                    conn.sendall(job("pay", body))
+                    code, answer = read_answer(file)
+                except OSError:  # the end, between two requests
+                    break
+                if code == 200 and answer.body == body:
+                    answered.append(body)
+                elif code != 503:
+                    wrong.append((code, answer))
+                if answer.headers.get("connection") == "close":
+                    if file.read() != b"":
+                        wrong.append("bytes behind the last answer")
+                    break
+                if turn == 5:
+                    ready.wait(WAIT)
+            conn.close()
+
+        clients = [threading.Thread(target=client, args=(number,)) for number in range(8)]
+        for one in clients:
+            one.start()
+        ready.wait(WAIT)
+        program.process.send_signal(signal.SIGTERM)
+        for one in clients:
+            one.join(WAIT)
+        assert program.process.wait(WAIT) == 0 and wrong == []
+        assert sorted(answered) == sorted(message.body for message in node.got)
+        assert program.last_counters()["owed"] == 0
+
+
+def test_second_sigterm_changes_nothing(tmp_path: Path) -> None:
+    with running(tmp_path, Held()) as (program, (node,), _), program.connect() as conn:
+        conn.sendall(job("pay", b"1"))
+        until(lambda: len(node.got) == 1)
+        for _ in range(3):
+            program.process.send_signal(signal.SIGTERM)
+            program.process.send_signal(signal.SIGHUP)
+        until(lambda: "stopping" in program.log.read_text())
+        node.let.set()  # type: ignore[attr-defined]
+        assert read_answer(conn.makefile("rb"))[1].body == b"1"
+        assert program.process.wait(WAIT) == 0
+
+
+def test_sigterm_while_the_first_list_is_awaited(tmp_path: Path) -> None:
+    """Lists are pushed and the agent is silent: what came is answered, and the end is in order."""
+    from tests.test_watch import PUSHED, Agent
+
+    agent = Agent()
+    with running(tmp_path, echo, settings=PUSHED, discovery=agent, wait=False) as (program, _, _d):
+        until(program.ready)
+        with program.connect() as conn:
+            conn.sendall(job(wait_ms=1000))
+            _taken(program, 1)
+            program.process.send_signal(signal.SIGTERM)
+            assert read_answer(conn.makefile("rb"))[0] in (200, 503)
+            assert program.process.wait(WAIT) == 0
+        agent.let.set()
+
+
+def _taken(program: Program, count: int) -> None:
+    until(lambda: program.counters().get("jobs_taken", 0) == count)
