Let a connection rest for 5 ms after its answer: a late second answer was the next job's

What then comes is read as the next job's answer (Pool._send borrows what give_back has just offered): nothing on it tells whose it is. A test in which the node writes once more as soon as the next request is there served "first" for "next" on the program before.

The connection stays in use for 5 ms after a clean answer; what comes then closes it, counted as stray_answers. The test that two jobs in a row share a connection waits for that moment by a counter, node_connections_idle.

--- a/indigokeel/net/connections/books.py
+++ b/indigokeel/net/connections/books.py
@@ -114,6 +114,10 @@
         if not any(shelves.values()):  # names come and go for ever; only those in use are kept
             del self._nodes[entry.node]
 
+    def idle(self) -> int:
+        """How many connections are idle."""
+        return len(self._idle)
+
     def youngest_idle(self, node: str) -> E | None:
         """The idle connection to a node that was used last."""
         shelves = self._nodes.get(node)
--- a/indigokeel/net/connections/manager.py
+++ b/indigokeel/net/connections/manager.py
@@ -148,6 +148,10 @@
         for key in [k for k, c in self._circuits.items() if now > c.open_until + _CIRCUIT_KEPT]:
             del self._circuits[key]
 
+    def idle(self) -> int:
+        """How many connections stand idle."""
+        return self.books.idle()
+
     def waiting(self) -> int:
         """How many claims wait for a connection."""
         return sum(map(len, self._waiting.values()))
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -16,6 +16,10 @@
 
 _IDLE_PART = 0.5  # of keepalive-s; an idle connection is not used beyond it: the node closes at the whole
 _PROBE_TIME = 1.0  # s for a probe
+# s after an answer in which its connection is not used. Guards against the second answer that comes some
+# milliseconds late (0.4 to 4.0 were seen) and would be taken for the next job's: nothing on it tells whose
+# it is.
+_REST = 0.005
 # Of a claim's time, that its connection may take to come up, and the least of that in s. Guards against
 # machines that are gone without a word: what was never written may go elsewhere, while there is time for it.
 _CONNECT_PART, _CONNECT_LEAST = 0.35, 0.02
@@ -26,11 +30,12 @@
 class Talk:
     """What is said on one connection: one exchange at a time."""
 
-    __slots__ = ("_begun", "_done", "_exchange", "_link", "_stream", "_upload", "host")
+    __slots__ = ("_begun", "_done", "_exchange", "_link", "_stream", "_upload", "host", "strays")
 
     def __init__(self, link: Link) -> None:
         self._link = link
         self.host = http.host(link.address)  # as a head names it
+        self.strays = False  # something came that nobody asked for: it must not be used again
         self._exchange: Exchange | None = None
         self._done: Callable[[Reply, bool], None] | None = None
         self._begun: Callable[[Reply], None] | None = None
@@ -68,7 +73,8 @@
     def heard(self, data: bytes) -> None:
         exchange = self._exchange
         if exchange is None:
-            raise UnsoundError("bytes that nobody asked for")
+            self.strays = True
+            return
         try:
             exchange.feed(data)
         except UnsoundError:
@@ -209,13 +215,23 @@
         def finished(reply: Reply, clean: bool) -> None:
             if not served:
                 self._risk.add(time.monotonic(), age, reply.outcome is Outcome.BROKEN)
-            self.connections.give_back(link, clean and self._facade.address(claim.node) == link.address)
+            if clean:
+                asyncio.get_running_loop().call_later(_REST, self._rested, link, talk)
+            else:
+                self.connections.give_back(link, False)
             if not served:
                 self._ended(claim, reply, done)
 
         body = task.body if task.has_body and upload is None else []
         talk.ask([head + b"\r\n", *body], finished, begun, upload)
 
+    def _rested(self, link: Link, talk: Talk) -> None:
+        """Nothing more has come on a connection since its answer, or it has been closed meanwhile."""
+        if talk.strays:
+            self._counters.add("stray_answers")
+        clean = not talk.strays and self._facade.address(link.node) == link.address
+        self.connections.give_back(link, clean)
+
     def _end_soon(self, claim: Claim, reply: Reply, done: Done) -> None:
         self._out[claim.job, claim.number] = asyncio.get_running_loop().call_soon(
             self._ended, claim, reply, done
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -489,6 +489,7 @@
             cordoned=len(self._facade.cordons.out(time.time())),
             submitter_connections_open=len(self._sessions),
             node_connections_open=self._pool.open,
+            node_connections_idle=self._pool.connections.idle(),
             claims_waiting=self._pool.connections.waiting(),
             loop_lag_ms=round(self._lag * 1000.0, 1),
             cpu_s=round(time.process_time(), 2),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -121,6 +121,58 @@
         assert runner.run(play()) == 0
 
 
+@pytest.mark.parametrize("stray", [peers.ok(b"first"), b"HTTP/1.1 20", b"\r\n", b""])
+def test_second_answer_that_comes_late_is_not_the_next_claims(stray: bytes) -> None:
+    """The next claim starts in the moment of the answer before, and the node writes once more on that
+    connection before it answers anything else: what it writes belongs to nobody."""
+
+    async def play() -> tuple[list[Reply], Counters, int]:
+        loop = asyncio.get_running_loop()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                if b"/first" in head:
+                    writer.write(peers.ok(b"first"))
+                else:
+                    writers[0].write(stray)
+                    await asyncio.sleep(0.002)
+                    writer.write(peers.ok(b"next"))
+
+        server = await asyncio.start_server(node, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        facade = Facade(decode_settings(peers.SETTINGS), 1, 0.0)
+        facade.listed(0.0, machine_list(peers.machine_list(peers.entry("s-0", port))))
+        counters = Counters("t")
+        pool = Pool(facade, counters, 5.0, 30.0, 64)
+        replies: list[Reply] = []
+        over: asyncio.Future[None] = loop.create_future()
+
+        def start(number: int, target: bytes) -> None:
+            claim = facade.pick(time.monotonic(), Job(f"j{number}", "view", 60.0)).claims[0]
+            pool.start(claim, Task(b"GET", target, b"%d" % number, None, [], False), done)
+
+        def done(claim: object, reply: Reply) -> None:
+            replies.append(reply)
+            if len(replies) == 1:
+                start(2, b"/next")
+            else:
+                over.set_result(None)
+
+        start(1, b"/first")
+        await over
+        while pool.connections.idle() < len(pool.connections.books):
+            await asyncio.sleep(0.001)
+        server.close()
+        return replies, counters, pool.open
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        replies, counters, left = runner.run(play())
+    assert [reply.body for reply in replies] == [[b"first"], [b"next"]]
+    assert left == (1 if stray else 2) and counters["connection_faults"] == 0
+
+
 class LateDesk:
     """A sidecar that is behind and turns every job away."""
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -46,6 +46,7 @@
     with running(tmp_path, echo) as (program, nodes, _):
         code, answer = program.ask(job("order", big, 5000, "Idempotency-Key: k7\r\n", key="a/b?c=%20d"))
         assert (code, answer.body) == (200, big)
+        until(lambda: program.counters()["node_connections_idle"] == 1)
         assert program.ask(job("view"))[1].body == b"none"
         first, second = nodes[0].got
         assert first.line == "POST /order/a/b?c=%20d HTTP/1.1" and first.body == big
