--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,9 @@
 """A pytest plugin: passes over the tests that KNOWN-RED.txt at the root lists, and over no others.
 
-Each line holds a test's id, the cause, and the issue that mends it, with `` | `` between; at most three. A
-listed test is run all the same: its failure is printed and does not fail the run, and where it passes, that is
-said, for the line can go. A line that is not whole, a fourth one, or a name that no test has fails the run.
+Each line holds a test's id, the cause, and the issue that mends it, with `` | `` between; at most three.
+A listed test is run all the same: its failure is printed and does not fail the run, and where it passes,
+that is said, for the line can go. A line that is not whole, a fourth one, or a name that no test has fails
+the run.
 """
 
 from __future__ import annotations
