--- a/indigokeel/__main__.py
+++ b/indigokeel/__main__.py
@@ -16,6 +16,9 @@
 
 def main() -> int:
     """Entry point: 0 at an ordered end, 1 if the address cannot be had, 2 on a bad configuration."""
+    # A SIGHUP that comes before the sidecar listens for it waits until it does, and is not lost: the file may
+    # have been replaced just after it was read here. Before this line ``run`` has it ignored.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = load_config(os.environ)
     except ConfigError as error:
@@ -26,8 +29,6 @@
     gc.freeze()
     # What a job leaves behind is freed by count alone; cycles are rare, and looking for them is not free.
     gc.set_threshold(10_000, 20, 20)
-    # Guards against a SIGHUP that comes before the sidecar listens for it, or while it ends.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         # Before anything else is opened, which could get the number of a descriptor that was not handed on.
         listener = http.bind(config.listen, config.listen_fd)
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -312,6 +312,7 @@
         signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
         for number in _SIGNALS:
             loop.add_signal_handler(number, signals.put_nowait, number)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         async with asyncio.TaskGroup() as self._tasks:
             known = self._config.known
             found = self._take_over() if self._left is not None else None
@@ -350,6 +351,7 @@
                     self._dump()
                 else:
                     self._reload()
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # for good: the loop lets go of it
             await self._end(server)
             for task in list(self._spawned):
                 task.cancel()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,21 +12,25 @@
 import sys
 import threading
 import time
+import tomllib
 from pathlib import Path
 
 import pytest
 
 from tests.peers import (
     ROOT,
+    SETTINGS,
     WAIT,
     Discovery,
     Message,
     entry,
+    free_port,
     job,
     machine_list,
     ok,
     read_answer,
     running,
+    start,
     status,
     until,
 )
@@ -202,6 +206,47 @@
         assert program.ask(job())[0] == 200 and program.counters()["watches_ended"] == 2
 
 
+def test_sighup_that_comes_as_the_file_is_read_is_taken_in_once_the_program_serves(tmp_path: Path) -> None:
+    """The configuration is a pipe, so that the program stands at its first step; what takes its place
+    moves discovery. Before, a SIGHUP then ended the program."""
+    old, new, path = Discovery(), Discovery(), tmp_path / "config.json"
+    data = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "seed": "1",
+        "known": machine_list(),
+        "settings": SETTINGS,
+        "discovery": f"127.0.0.1:{old.port}",
+    }
+    moved = tmp_path / "moved.json"
+    data["listen"] = f"127.0.0.1:{free_port()}"
+    moved.write_text(json.dumps({**data, "discovery": f"127.0.0.1:{new.port}"}))
+    os.mkfifo(path)
+    process = start(path, (tmp_path / "log").open("wb"))
+    try:
+        with path.open("w") as pipe:  # once the program reads
+            process.send_signal(signal.SIGHUP)
+            os.replace(moved, path)
+            pipe.write(json.dumps(data))
+        until(lambda: bool(new.watches) or process.poll() is not None)
+        assert process.poll() is None and len(new.watches) == 1
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_run_line_ignores_sighup_until_the_program_listens_for_it() -> None:
+    """A signal that comes while the interpreter starts would end the process: nobody handles it yet."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    program = "exec .venv/bin/python -B -m indigokeel"
+    assert run.endswith(program)
+    asked = run.removesuffix(program) + "exec grep SigIgn /proc/self/status"
+    found = subprocess.run(["/bin/sh", "-c", asked], capture_output=True, text=True, check=True).stdout
+    assert int(found.split()[1], 16) & 1 << (signal.SIGHUP - 1)
+
+
 def test_sighup_moves_the_watch_and_an_unreadable_file_changes_nothing(tmp_path: Path) -> None:
     with running(tmp_path, echo, echo) as (program, nodes, discovery):
         until(lambda: len(discovery.watches) == 1)
