End the thread of a closed test peer, and give programs under test an address of their own

Cause, shown by a probe of 15 lines: Peer.close() closed the listener under a thread that stood in accept. The call keeps the old listener alive; restarted by the system (SIGSTOP and SIGCONT do it) it runs with the old number, which is the next peer's listener by then, and takes its connections. Ruled out: two listeners on one port (0 of 9,000 binds met one of 300 such ports), a folder shared between runs. Now the listener is shut down and its thread joined first.

A program under test listened on a port of 127.0.0.1 that was free when asked for; between that and its start other runs of the tests could take it (seen once with four runs side by side: "waited in vain"). It has an address of its own now, as the operators' one had. A reader of 32 MB that was refused read the end for ever; it says so now.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -107,7 +107,8 @@
         self.closed = 0  # connections that this side has closed
         self._server = socket.create_server(("127.0.0.1", 0))
         self.port = self._server.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._acceptor = threading.Thread(target=self._accept, daemon=True)
+        self._acceptor.start()
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
@@ -128,6 +129,12 @@
         self.closed += 1
 
     def close(self) -> None:
+        """Shut down first, and see the thread end: left in its call it would go on listening, and, where that
+        call is restarted, accept the connections of the next peer whose socket has got the same number."""
+        with contextlib.suppress(OSError):
+            self._server.shutdown(socket.SHUT_RDWR)
+        self._acceptor.join(WAIT)
+        assert not self._acceptor.is_alive()
         self._server.close()
 
 
@@ -195,11 +202,12 @@
 _ids = iter(range(10**9))
 
 
-# Of the second address: its free ports are never those of the first, nor of another run of the tests.
-OPERATORS = f"127.9.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
+# Addresses on which the program listens: ports that are free there, when asked for, are still so when the
+# program has started, for nobody else uses them, and no other run of the tests.
+OPERATORS, CLIENTS = (f"127.{n}.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}" for n in (9, 10))
 
 
-def free_port(host: str = "127.0.0.1") -> int:
+def free_port(host: str) -> int:
     with socket.create_server((host, 0)) as server:
         return int(server.getsockname()[1])
 
@@ -243,12 +251,12 @@
     ) -> None:
         """``listener`` is the platform's own, inherited as descriptor 7; ``wait``: until it is ready;
         ``more`` goes to the environment."""
-        self.port = listener.getsockname()[1] if listener else free_port()
+        self.address = listener.getsockname() if listener else (CLIENTS, free_port(CLIENTS))
         self.mgmt = int(more.get("BALANCER_MGMT", ":0").rpartition(":")[2])
         config = self.config = tmp / "config.json"
         data = {
             "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
+            "listen": f"{self.address[0]}:{self.address[1]}",
             "discovery": f"127.0.0.1:{discovery}",
             "seed": "8c1f30d27a5be964",
             "limits": {"sockets": sockets},
@@ -283,7 +291,7 @@
             return False
 
     def connect(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
+        return socket.create_connection(self.address, timeout=WAIT)
 
     def ask(self, raw: bytes) -> tuple[int, Message]:
         """Send bytes on a new connection and read one answer."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -92,12 +92,13 @@
         with program.connect() as conn:
             conn.sendall(job())
             file = conn.makefile("rb")
+            assert file.readline().startswith(b"HTTP/1.1 200")
             while file.readline().strip():
                 pass
             time.sleep(0.3)  # reads nothing for a while: what was sent waits at the node
             while got < SIZE:
                 data = file.read(min(1 << 20, SIZE - got))
-                assert data == BLOCK[: len(data)]
+                assert data and data == BLOCK[: len(data)]
                 got += len(data)
                 most = max(most, rss(program))
         until(lambda: program.counters()["node_connections_open"] <= 1)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -325,7 +325,7 @@
     with running(tmp_path, lambda _: ok(BIG)) as (program, _, _d), socket.socket() as conn:
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         conn.settimeout(WAIT)
-        conn.connect(("127.0.0.1", program.port))
+        conn.connect(program.address)
         rounds = 12
         for number in range(1, rounds + 1):
             conn.sendall(b"".join(job("pay", b"x") for _ in range(8)))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -79,6 +79,16 @@
     server.close()
 
 
+def test_peer_that_is_closed_accepts_nothing_more() -> None:
+    """Found as an answer of 1 MiB that another test's node had sent, in the test of upgrades: the thread of a
+    closed peer still stood in accept, and with its call restarted (a stop of the process is enough) it took a
+    connection of the next peer, whose socket had got the same number."""
+    old = peers.Peer(lambda message: peers.ok(b"old"))
+    old.close()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", old.port))
+
+
 def test_log_that_nobody_reads_stops_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     reader, writer = os.pipe()
     monkeypatch.setattr("indigokeel.net.counters._STDERR", writer)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,6 +18,7 @@
 import pytest
 
 from tests.peers import (
+    CLIENTS,
     ROOT,
     SETTINGS,
     WAIT,
@@ -219,7 +220,7 @@
         "discovery": f"127.0.0.1:{old.port}",
     }
     moved = tmp_path / "moved.json"
-    data["listen"] = f"127.0.0.1:{free_port()}"
+    data["listen"] = f"{CLIENTS}:{free_port(CLIENTS)}"
     moved.write_text(json.dumps({**data, "discovery": f"127.0.0.1:{new.port}"}))
     os.mkfifo(path)
     process = start(path, (tmp_path / "log").open("wb"))
