Call an agent that pushes at most each 0.05 s, also where its answer cannot be read

Found on rereading: the pause came only after a call that was not answered. The pause counts from the call's beginning now, so that a watch that lasted is still opened anew at once. A variable that repeated "there is a writer" is gone.

--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -19,7 +19,7 @@
 # The rest of the 6 s is for the next call, which waits in turn and may be refused once.
 _SILENCE = 3.0
 _WAIT = 6.0  # s for an answer to begin, where the call before had none either: discovery has many callers
-_AGENT = 0.05  # s before an agent that pushes is called again, which serves this machine alone
+_AGENT = 0.05  # s between calls of an agent that pushes, which serves this machine alone
 _PACE = 32_000  # bytes of a message for which its line gets a second more
 _MOST = 1 << 20  # bytes of one message
 _READ = 64 * 1024  # bytes asked of the connection at a time
@@ -99,9 +99,9 @@
         """Watch until a call ends otherwise than by silence. One that falls silent is opened anew at once:
         no answer said that discovery has too many callers, and what it misses is bound to a clock. Where
         lists are pushed, a watch is wanted for good: what the agent has counts as told without one, too."""
-        patience = _SILENCE
+        patience, clock = _SILENCE, asyncio.get_running_loop().time
         while True:
-            answered = False
+            answered, begun = False, clock()
 
             def answering() -> None:
                 nonlocal answered
@@ -113,8 +113,7 @@
             if ending is _Ending.SILENT:
                 self._counters.add("watches_silent")
             if self.pushed:
-                if not answered:
-                    await asyncio.sleep(_AGENT)
+                await asyncio.sleep(max(begun + _AGENT - clock(), 0.0))
             elif ending is not _Ending.SILENT or (not answered and patience == _WAIT):
                 return
             patience = _WAIT if ending is _Ending.SILENT and not answered else _SILENCE
@@ -131,11 +130,9 @@
         ``patience`` seconds."""
         self._counters.add("discovery_calls")
         writer = None
-        connected = False
         try:
             async with asyncio.timeout(_CONNECT):
                 reader, writer = await asyncio.open_connection(*self._address)
-            connected = True
             self._open[writer] = writer.get_extra_info("socket").fileno()
             writer.write(b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, http.host(self._address)))
             answer = _Answer(reader)
@@ -160,7 +157,8 @@
             # or the module would wait for ever and the list grow old.
             self._counters.add("discovery_failures")
             self._counters.log(f"discovery: {type(error).__name__}: {error}")
-            return _Ending.SILENT if connected and isinstance(error, TimeoutError) else _Ending.FAILED
+            silent = writer is not None and isinstance(error, TimeoutError)
+            return _Ending.SILENT if silent else _Ending.FAILED
         finally:
             if writer is not None:
                 self._open.pop(writer, None)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -143,6 +143,13 @@
     assert 0.02 <= min(gaps) <= max(gaps) <= 0.1
 
 
+def test_agent_whose_lists_cannot_be_read_is_not_called_in_a_spin(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It answers, and what it says ends the watch at once, each time."""
+    spoilt: list[tuple[float, bytes | None]] = [(0.0, HEAD + chunk(b"what is this\n"))]
+    found = Watched(monkeypatch, *[spoilt] * 1000, pushed=True).run(1.0)
+    assert 10 <= len(found.calls) <= 25
+
+
 LISTS = [machine_list(entry(f"s-{n}", 1000 + n), entry("s-9", 9000), index=n) for n in (1, 2, 3)]
 
 
