--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -14,6 +14,18 @@
 
 import pytest
 
+from indigokeel.decision.balancer import Balancer
+from indigokeel.decision.interface import (
+    ClassSettings,
+    Effect,
+    MembershipNews,
+    News,
+    Safety,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TimerFired,
+)
 from indigokeel.machine_list import MachineList
 from indigokeel.net.counters import Counters
 from indigokeel.net.discovery import Discovery
@@ -256,3 +268,24 @@
         until(lambda: program.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")[0] == 200)
         assert program.ask(job())[0] == 200 and time.monotonic() - begun < peers.WAIT
         agent.let.set()
+
+
+@pytest.mark.parametrize("ask_within", [2.0, 10.0, 600.0])
+def test_discovery_that_comes_back_is_asked_in_time_for_what_it_has(ask_within: float) -> None:
+    """However many calls failed, a change counts as told 6 s after discovery could be reached: the wait, and
+    the 2 s that a connect may take which began just before, leave more than a second for the answer."""
+    settings = Settings(
+        classes=(ClassSettings("view", aim=0.5, deadline=1.5, effect=Effect.SAFE),),
+        safety=Safety(ask_within=ask_within),
+        ask_membership=True,
+    )
+    for seed in range(20):
+        balancer = Balancer(settings, seed)
+        now, longest = 0.0, 0.0
+        for _ in range(40):
+            actions = balancer.handle(now, MembershipNews(News.FAILED))
+            (timer,) = [action for action in actions if isinstance(action, SetTimer)]
+            longest, now = max(longest, timer.delay), now + timer.delay
+            actions = balancer.handle(now, TimerFired(timer.token))
+            assert any(isinstance(action, Subscribe) for action in actions)
+        assert 0.5 * min(ask_within * 0.4, 2.4) < longest <= min(6.0 - 2.0 - 1.0, ask_within)
