--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -106,8 +106,8 @@
 LAG_TURNS = 2.0  # times its lag that a job spends waiting for the sidecar itself
 HELD_PART = 0.4  # of the time left, that a request is held for which there is no upstream
 WATCH_FIRST = 0.5  # s before discovery is asked again after a failed call, with jitter ...
-WATCH_LONGEST = 0.4  # ... doubled up to this part of the time that it must be asked in, or of TOLD
-TOLD = 6.0  # s after which a change counts as told, whatever calls failed; a connect may take 2 of these
+WATCH_LONGEST = 0.4  # ... doubled up to this part of the time that it must be asked in ...
+WATCH_MOST = 2.9  # s; ... and this: 6 s after discovery can be reached again a change counts as told
 REFUSAL_WAIT = 0.25  # s a refused client is asked to wait, where clients hear it
 IDLE_KEPT = 1  # upstreams to which idle connections are kept where open connections have a price ...
 IDLE_KEPT_FREE = 64  # ... and where not: a handshake costs the upstream work and the request time
@@ -296,7 +296,7 @@
         if not self._settings.ask_membership:
             return
         delay = self._watch_delay * self._random.uniform(0.5, 1.0)
-        longest = WATCH_LONGEST * min(self._settings.safety.ask_within, TOLD)
+        longest = min(WATCH_LONGEST * self._settings.safety.ask_within, WATCH_MOST)
         self._watch_delay = min(self._watch_delay * 2.0, longest)
         self._timer(delay, lambda now: self._actions.append(Subscribe()))
 
