Ask right before each attempt whether its client has left, not only when told

At fault: Pool._send asked Facade.begin alone, which knows what the loop has read. Now it asks the system (POLLRDHUP) too, for each attempt, first or further, and where the client has left, Session._left_early tells it on. Ruled out: the 0.2 s of housekeeping (no reader was stopped), a wait for a connection (sent at once), the books.

--- a/indigokeel/net/exchange.py
+++ b/indigokeel/net/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -26,6 +27,9 @@
     has_body: bool
     unsafe: bool = False  # it must never run twice
     upload: Upload | None = None  # instead of ``body``, where that is long
+    # Asked right before an attempt's first byte: whether its submitter has closed by now. Where so, that is
+    # told on, and the attempt given up.
+    left: Callable[[], bool] = lambda: False
 
 
 @dataclass(slots=True)
--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -175,6 +175,9 @@
         now = time.monotonic()
         age = now - link.idle_since if link.idle_since > 0.0 else -1.0
         moved = self._facade.address(claim.node) != link.address
+        if task.left():
+            self.connections.give_back(link, not moved)
+            return
         if moved or not self._facade.begin(now, claim):
             self.connections.give_back(link, not moved)
             self._end_soon(claim, Reply(Outcome.MOOT), done)
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -239,6 +239,13 @@
         """Whether some of what was written has not gone out yet."""
         return self.fd >= 0 and self._transport.get_write_buffer_size() > 0
 
+    def left_by_now(self) -> bool:
+        """Whether the submitter has closed, asked of the system: the loop may not have got to that yet. Then
+        nothing more is done for it."""
+        if not self.ended and http.hung_up(self.fd):
+            self._left_early()
+        return self.ended
+
     def _discard(self, data: bytes) -> None:
         """Throw away what is not read any more. Beyond a bound it waits in the system: guards against those
         who send 60 MB behind what was refused, and go."""
@@ -303,6 +310,7 @@
         if self._target != b"/_health":
             # Refused from the head, with the body unread: what is no job costs no more than that.
             self._job = read_job(parser.get_method(), self._target, self._headers, self._desk.settings)
+            self._job[1].left = self.left_by_now
         if self._headers.get(b"expect", b"").lower() == b"100-continue" and not self.busy:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -104,6 +104,7 @@
     def __init__(self, script: Callable[[Message], bytes | None]) -> None:
         self.script = script
         self.got: list[Message] = []
+        self.answered = 0  # messages whose answer this side has written
         self.closed = 0  # connections that this side has closed
         self._server = socket.create_server(("127.0.0.1", 0))
         self.port = self._server.getsockname()[1]
@@ -124,6 +125,7 @@
                 if answer is None:
                     break
                 conn.sendall(answer.removeprefix(b"!"))
+                self.answered += 1
                 if answer.startswith(b"!"):
                     break
         self.closed += 1
