Make room in a crowd with few looks, and cut off nothing that is owed

Now: newcomers are gone through from the old end, only while they are old, the system asked last; eight looks at those that had their last word. Also, each forced by its test and seen to fail before: - a connection whose answer stands in the system's queue was closed over unread bytes to make room: the answer went with the reset. unwritten() asks the system (TIOCOUTQ) now, also before a lingering one is cut off; - half a message that stood still for 0.5 s was closed without a word, also where its last bytes were here unread: it is told 503 whole and lingers; - the newest was closed unread where all others were halves: a half goes first, and a few newcomers may stand beside those at work; - the shutdown ended connections whose message had come but was not read (Sidecar._end): it goes on until they are.

--- a/indigokeel/net/client_connections.py
+++ b/indigokeel/net/client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from itertools import islice
 from typing import Generic, Protocol, TypeVar
 
 # Of all descriptors: with more connections that brought a request than this, each ends with its answer.
@@ -10,6 +11,7 @@
 _CROWD = 1 / 6
 _YOUNG = 0.3  # s in which one that has brought no request yet is left alone, where others can go
 _MAY_CLOSE = 2.0  # s without an open request after which a client reckons with a close
+_LOOKS = 8  # at those that had their last word, and may not have read it
 _STUCK = 0.5  # s without more of it after which half a message keeps no connection, where room is needed
 
 
@@ -22,7 +24,8 @@
 
     def stuck_for(self, now: float) -> float: ...
 
-    def unwritten(self) -> bool: ...
+    def unwritten(self) -> bool:
+        """Whether its peer's system has not got all that was written to it."""
 
     def __hash__(self) -> int: ...
 
@@ -37,7 +40,8 @@
         """``descriptors`` that the process may hold; ``most`` of these for clients."""
         self._crowd, self._most = max(int(descriptors * _CROWD), 4), most
         self._all: dict[C, None] = {}
-        self._newcomers: dict[C, None] = {}  # those that have brought no request, in the order they came
+        # Those that have brought no request, in the order they came, and when each did.
+        self._newcomers: dict[C, float] = {}
         self._workers: dict[C, None] = {}  # the others, by their last request
         self._ending: dict[C, None] = {}  # those that had their last word, in that order
 
@@ -48,10 +52,14 @@
         """All that are open now; any of them may go meanwhile."""
         return iter(list(self._all))
 
-    def joined(self, connection: C) -> bool:
-        """One more; False where one has to go for it."""
-        self._all[connection] = self._newcomers[connection] = None
-        return len(self._all) <= self._most
+    def joined(self, connection: C, now: float) -> None:
+        """One more."""
+        self._all[connection] = None
+        self._newcomers[connection] = now
+
+    def too_many(self, spare: int = 0) -> bool:
+        """Whether one has to go for the newest; ``spare``: of those that may stand beside the others."""
+        return len(self._all) > self._most + spare
 
     def brought(self, connection: C) -> None:
         """It has brought a request: it goes to the young end of the workers."""
@@ -66,7 +74,8 @@
         self._ending[connection] = None
 
     def gone(self, connection: C) -> None:
-        for connections in (self._all, self._newcomers, self._workers, self._ending):
+        self._newcomers.pop(connection, None)
+        for connections in (self._all, self._workers, self._ending):
             connections.pop(connection, None)
 
     def crowded(self) -> bool:
@@ -76,18 +85,25 @@
     def to_close(self, newest: C, now: float) -> C:
         """Which one goes so that the newest has a place; perhaps that itself. Guards against crowds: what
         had its last word goes first; then those that never brought a request, the oldest of them, for on one
-        that did another may be on its way. Looked for from the old end, since a crowd may come by hundreds a
-        second."""
-        ending = next((c for c in self._ending if not c.unwritten()), None)
+        that did another may be on its way. Looked for from the old end, and no further than the old ones go:
+        a crowd may come by a thousand a second, and each look may ask the system."""
+        ending = next((c for c in islice(self._ending, _LOOKS) if not c.unwritten()), None)
         if ending is not None:
             return ending
-        found = next((c for c in self._others(newest) if c.idle() and c.idle_for(now) > _YOUNG), None)
-        if found is None:
-            found = next((c for c in self._newcomers if c.stuck_for(now) > _STUCK), None)
+        found = None
+        for connection, came in self._newcomers.items():
+            if now - came <= _YOUNG:
+                break
+            if connection.idle_for(now) > _YOUNG and connection.idle():
+                return connection
+            if found is None and connection.stuck_for(now) > _STUCK:
+                found = connection
         if found is None:  # the one that did nothing for longest, where that is long
-            found = next((c for c in self._workers if c.idle()), newest)
-            if found is not newest and found.idle_for(now) < _MAY_CLOSE:
+            found = next((c for c in self._workers if c.idle()), None)
+            if found is None or found.idle_for(now) < _MAY_CLOSE:
                 found = next((c for c in self._others(newest) if c.idle()), found)
+        if found is None:  # the newest may bring a whole request in a moment
+            found = next((c for c in self._others(newest) if c.stuck_for(now) > 0.0), newest)
         return found
 
     def _others(self, newest: C) -> Iterator[C]:
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import math
 import os
 import select
 import socket
+import sys
+import termios
 from collections.abc import Mapping, Sequence
 from functools import lru_cache
 from http import HTTPStatus
@@ -46,6 +49,14 @@
     return bool(poll.poll(0))
 
 
+def unsent(fd: int) -> int:
+    """Bytes that were written and that the peer's system has not got yet: a reset would lose them."""
+    try:
+        return int.from_bytes(fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    except OSError:  # it is gone, and they with it
+        return 0
+
+
 def write(fd: int, pieces: Sequence[bytes]) -> int:
     """Write at once what the system takes, and say how many bytes that was; raises OSError on a broken
     connection. Beside the event loop, which writes a little later and does not tell how far it came."""
--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -38,6 +38,8 @@
 _RETIRE = 5  # looks between those at idle connections to execute nodes
 _AUDIT = 25  # looks between audits of the descriptors
 _BACKLOG = 512
+_SPARE = 12  # of the reserve, for new clients while all others are at work
+_MOST_CLOSED = 2  # client connections closed for a new one: one that is told first goes with the next
 _STOOD = 0.02  # s by which the clock is late where the sockets are looked at first
 _SYNC = 0.05  # s between looks at what another process of this sidecar was told
 _LEAVE = 1.0  # s between two writings of what the next process starts from ...
@@ -151,7 +153,10 @@
 
     def joined(self, session: Session) -> None:
         self._counters.add("submitter_connections")
-        if not self._sessions.joined(session):
+        self._sessions.joined(session, time.monotonic())
+        for _ in range(_MOST_CLOSED):
+            if not self._sessions.too_many():
+                break
             self._make_room(session)
 
     def crowded(self) -> bool:
@@ -167,11 +172,13 @@
         """Close one connection so that the newest has a place."""
         found = self._sessions.to_close(newest, time.monotonic())
         if found is newest:
+            if not self._sessions.too_many(_SPARE):
+                return
             self._counters.add("submitters_without_room")
         if not found.ended:
             self._counters.add("submitters_shed")
-        found.abort()
-        self.gone(found)
+        if found.give_way():
+            self.gone(found)
 
     # --- what the facade orders -----------------------------------------------------------------------
 
@@ -409,11 +416,11 @@
         patience = time.monotonic() + _HALF_READ
         while self._sessions and time.monotonic() < self._ends_at:
             if not shared:
-                if not self._anything_owed() and time.monotonic() >= patience:
-                    break
                 for session in self._sessions:
                     if session.idle():
                         session.close()
+                if time.monotonic() >= patience and not self._anything_owed():
+                    break
             await asyncio.sleep(0.02)
         for session in self._sessions:
             session.close()
@@ -481,7 +488,7 @@
         return known
 
     def _anything_owed(self) -> bool:
-        return self._facade.owed > 0 or any(s.busy or s.unwritten() for s in self._sessions)
+        return self._facade.owed > 0 or any(s.busy or s.unread() or s.unwritten() for s in self._sessions)
 
     def _dump(self) -> None:
         self._audit.look()
--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -201,13 +201,20 @@
         """Whether it stands between two messages, or before the first, with nothing of the next one here."""
         return not (self.busy or self._reading or self.ended) and not http.readable(self.fd)
 
+    def unread(self) -> bool:
+        """Whether something has come that is not read yet, and will be."""
+        return not self.ended and http.readable(self.fd)
+
     def idle_for(self, now: float) -> float:
         """How long it has had no open job and no message begun, or 0."""
         return 0.0 if self.busy or self._reading or self.ended else now - self._since
 
     def stuck_for(self, now: float) -> float:
-        """How long a message that is half here has not grown, or 0."""
-        return now - self._grew if self._reading and not self.busy else 0.0
+        """How long a message that is half here has not grown, or 0; what has come of it and is not read yet
+        counts as growth."""
+        if not self._reading or self.busy or self.ended or http.readable(self.fd):
+            return 0.0
+        return now - self._grew
 
     # --- the end: every one goes through ``close`` or ``abort`` -----------------------------------------
 
@@ -235,9 +242,20 @@
         self.ended = True
         self._transport.abort()
 
+    def give_way(self) -> bool:
+        """There is no room for it: end it. False where it is half of a message that has come: its sender, who
+        may be about to write the last byte, is told first, and the connection lingers."""
+        if self._reading and not self.busy and not self.ended:
+            self._fail(MalformedError(503, "there is no room for a message that comes slowly"))
+            self._work()
+            return False
+        self.abort()
+        return True
+
     def unwritten(self) -> bool:
-        """Whether some of what was written has not gone out yet."""
-        return self.fd >= 0 and self._transport.get_write_buffer_size() > 0
+        """Whether some of what was written is not with the peer's system yet: unread bytes would take it
+        with them, were the connection closed now."""
+        return self.fd >= 0 and (self._transport.get_write_buffer_size() > 0 or http.unsent(self.fd) > 0)
 
     def left_by_now(self) -> bool:
         """Whether the submitter has closed, asked of the system: the loop may not have got to that yet. Then
@@ -262,6 +280,8 @@
             self.abort()
             return
         left = 0 if self.fd < 0 else self._transport.get_write_buffer_size()
+        if self.ended and self.fd >= 0:  # it is closed after this, which what is unread would make a reset
+            left += http.unsent(self.fd)
         if left != self._left:
             self._left, self._since = left, now if left else self._since
         waited = now - self._since
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,230 @@
+"""Crowds that fill the descriptors, and the loop that runs late under them: nothing owed is cut off, nobody
+who has left is worked for, and making room costs little."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from indigokeel.net.client_connections import ClientConnections
+from indigokeel.net.counters import Counters
+from indigokeel.net.submitters import Desk, Session
+from tests.peers import Message, Program, job, ok, read_answer, running, status, until
+from tests.test_endings import BIG, LEAVING, Fake
+
+SOCKETS = 64  # of these, 17 for clients
+CLIENTS = 17
+
+
+@contextlib.contextmanager
+def stopped(program: Program) -> Iterator[None]:
+    """The loop stands still within, whatever comes; then it finds all of it at once."""
+    os.kill(program.process.pid, signal.SIGSTOP)
+    until(lambda: _state(program) == "T")
+    yield
+    os.kill(program.process.pid, signal.SIGCONT)
+
+
+def _state(program: Program) -> str:
+    return Path(f"/proc/{program.process.pid}/stat").read_text().rpartition(") ")[2][0]
+
+
+# --- a client that has left before the loop reads its request -------------------------------------------
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_request_that_is_read_after_its_client_left_is_not_sent_on(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    """The request and the end of its stream are both here when the loop gets to them: the request was read
+    first, and sent on at once."""
+    with running(tmp_path, lambda message: ok(message.body)) as (program, (node,), _):
+        conn = program.connect()
+        conn.sendall(job("pay", b"0"))
+        assert read_answer(conn.makefile("rb"))[0] == 200
+        until(lambda: program.counters()["node_connections_idle"] == 1)  # the attempt need not wait for one
+        with stopped(program):
+            conn.sendall(job("pay", b"1"))
+            leave(conn)
+        until(lambda: program.counters()["submitter_connections_open"] == 0)
+        assert program.ask(job("pay", b"2"))[1].body == b"2"
+        assert [message.body for message in node.got] == [b"0", b"2"]
+        counters = program.counters()
+        assert (counters["owed"], counters["claims_waiting"], counters.get("session_faults", 0)) == (0, 0, 0)
+        conn.close()
+
+
+@pytest.mark.parametrize("leave", LEAVING)
+def test_further_attempt_is_not_begun_once_its_client_has_left(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    """The first attempt was turned away and the client left, in this order, while the loop stood still."""
+    let = threading.Event()
+
+    def full(message: Message) -> bytes:
+        let.wait(20.0)
+        return status(503, "Not-Started: 1\r\n")
+
+    with running(tmp_path, full, full) as (program, nodes, _):
+        conn = program.connect()
+        conn.sendall(job("view"))
+        until(lambda: sum(len(node.got) for node in nodes) == 1)
+        held = next(node for node in nodes if node.got)
+        with stopped(program):
+            let.set()
+            until(lambda: held.answered == 1)
+            leave(conn)
+        until(lambda: program.counters()["submitter_connections_open"] == 0)
+        assert sum(len(node.got) for node in nodes) == 1
+        assert program.counters()["owed"] == 0
+        conn.close()
+
+
+# --- making room ------------------------------------------------------------------------------------------
+
+
+def test_answer_that_its_client_has_not_got_yet_is_not_cut_off_to_make_room(tmp_path: Path) -> None:
+    """It stands in the system's queue, for the client reads slowly, and bytes that nobody will read are here:
+    closed now, the connection would be reset and the answer go with it."""
+    with (
+        running(tmp_path, lambda _: ok(BIG), sockets=SOCKETS) as (program, _nodes, _d),
+        socket.socket() as conn,
+    ):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        conn.settimeout(20.0)
+        conn.connect(program.address)
+        conn.setblocking(False)
+        conn.send(job("pay", b"1", more="Connection: close\r\n"))
+        until(lambda: program.counters().get("answers_written", 0) == 1)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                conn.send(b"x" * 65536)
+        others = []
+        for _ in range(CLIENTS + 3):
+            other = program.connect()
+            others.append(other)
+            other.sendall(job("pay", b"2"))
+            assert read_answer(other.makefile("rb"))[1].body == BIG
+        conn.settimeout(20.0)
+        code, answer = read_answer(conn.makefile("rb"))
+        assert (code, answer.body) == (200, BIG)
+        for other in others:
+            other.close()
+
+
+def test_half_a_message_that_has_to_go_is_told_first(tmp_path: Path) -> None:
+    """Its sender may be about to write the last byte: a close without a word would lose that request."""
+    with running(tmp_path, lambda message: ok(message.body), sockets=SOCKETS) as (program, _nodes, _d):
+        whole = [job("pay", b"%d" % number) for number in range(CLIENTS)]
+        halves = [program.connect() for _ in whole]
+        for conn, message in zip(halves, whole, strict=True):
+            conn.sendall(message[:-1])
+        until(lambda: program.counters()["submitter_connections_open"] >= CLIENTS)
+        time.sleep(0.6)  # they have not grown for so long; longer does no harm
+        for number in range(5):
+            assert program.ask(job("pay", b"x%d" % number))[1].body == b"x%d" % number
+        told = 0
+        for conn, message in zip(halves, whole, strict=True):
+            with contextlib.suppress(OSError):
+                conn.sendall(message[-1:])
+            code, answer = read_answer(conn.makefile("rb"))
+            assert code == 200 and answer.body in message or code in (408, 503)
+            told += code != 200
+            conn.close()
+        assert told > 0 and program.counters()["owed"] == 0
+
+
+class Counted(Fake):
+    """A connection that counts how often the system is asked for it."""
+
+    asked = 0
+
+    def idle(self) -> bool:
+        Counted.asked += 1
+        return super().idle()
+
+    def unwritten(self) -> bool:
+        Counted.asked += 1
+        return super().unwritten()
+
+
+@pytest.mark.parametrize(
+    ("newcomers", "workers", "ending"),
+    [
+        ([Counted(idle=0.1) for _ in range(500)], [Counted(idle=1.0)], []),
+        ([Counted(stuck=0.1) for _ in range(500)], [Counted(idle=3.0)], []),
+        ([Counted(idle=1.0) for _ in range(500)], [], [Counted(unwritten=True) for _ in range(500)]),
+    ],
+)
+def test_making_room_asks_the_system_a_few_times_however_many_there_are(
+    newcomers: list[Fake], workers: list[Fake], ending: list[Fake]
+) -> None:
+    connections: ClientConnections[Fake] = ClientConnections(2048, 1)
+    for connection in (*newcomers, *workers, *ending):
+        connections.joined(connection, 0.0)
+    for connection in workers:
+        connections.brought(connection)
+    for connection in ending:
+        connections.ending(connection)
+    newest = Counted()
+    connections.joined(newest, 0.2)
+    Counted.asked = 0
+    for now in (0.2, 0.25, 0.9):
+        connections.to_close(newest, now)
+    assert Counted.asked <= 60
+
+
+class _Desk:
+    """The sidecar, as far as a session that reads half a message asks it."""
+
+    behind = closing = False
+
+    def joined(self, session: Session) -> None:
+        self.session = session
+
+
+class _Transport(asyncio.Transport):
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__({"socket": sock})
+
+
+def test_message_whose_last_byte_is_here_unread_does_not_stand_still() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        session = Session(cast(Desk, _Desk()), Counters("n0"))
+        session.connection_made(_Transport(ours))
+        session.data_received(b"GET /view/k1 HT")
+        late = time.monotonic() + 10.0
+        assert session.stuck_for(late) > 9.0 and not session.unread()
+        theirs.sendall(b"TP/1.1\r\n\r\n")
+        assert session.stuck_for(late) == 0.0 and session.unread()
+
+
+def test_crowd_beyond_the_descriptors_leaves_true_requests_their_answers(tmp_path: Path) -> None:
+    """Three crowds while discovery is silent: such as say nothing, send half, or ask once and stay."""
+    with running(tmp_path, lambda message: ok(message.body), sockets=SOCKETS) as (program, _nodes, _d):
+        crowd = []
+        for number in range(60):
+            conn = program.connect()
+            crowd.append(conn)
+            if number % 3 == 1:
+                conn.sendall(job("pay", b"half")[:-2])
+            elif number % 3 == 2:
+                conn.sendall(job("view"))
+            answer = program.ask(job("pay", b"%d" % number))
+            assert (answer[0], answer[1].body) == (200, b"%d" % number)
+        counters = program.counters()
+        assert counters["submitter_connections_open"] <= CLIENTS + 2
+        assert (counters["owed"], counters.get("descriptors_run_out", 0)) == (0, 0)
+        for conn in crowd:
+            conn.close()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -179,13 +179,15 @@
 ) -> None:
     connections: ClientConnections[Fake] = ClientConnections(1024, len(newcomers + workers + ending))
     for connection in (*newcomers, *workers, *ending):
-        assert connections.joined(connection)
+        connections.joined(connection, -10.0)
+        assert not connections.too_many()
     for connection in workers:
         connections.brought(connection)
     for connection in ending:
         connections.ending(connection)
     newest = Fake()
-    assert not connections.joined(newest)
+    connections.joined(newest, 0.0)
+    assert connections.too_many()
     assert connections.to_close(newest, 0.0) is (goes or newest)
     for connection in list(connections):
         connections.gone(connection)
