Keep a lingering connection for its answer only where a close would reset it

The system counts the end of the stream among what is not acknowledged for up to 40 ms, so connections that had their last word were spared and idle ones with a request behind them went. A close loses bytes only where it is a reset, over bytes that are unread: asked first now.

--- a/indigokeel/net/submitters.py
+++ b/indigokeel/net/submitters.py
@@ -253,9 +253,13 @@
         return True
 
     def unwritten(self) -> bool:
-        """Whether some of what was written is not with the peer's system yet: unread bytes would take it
-        with them, were the connection closed now."""
-        return self.fd >= 0 and (self._transport.get_write_buffer_size() > 0 or http.unsent(self.fd) > 0)
+        """Whether some of what was written would be lost, were the connection closed now."""
+        return self.fd >= 0 and (self._transport.get_write_buffer_size() > 0 or self._at_risk() > 0)
+
+    def _at_risk(self) -> int:
+        """Bytes written that the peer's system has not got yet, where a close would be a reset, over bytes
+        that are unread, and they would go with it."""
+        return http.unsent(self.fd) if http.readable(self.fd) else 0
 
     def left_by_now(self) -> bool:
         """Whether the submitter has closed, asked of the system: the loop may not have got to that yet. Then
@@ -280,8 +284,8 @@
             self.abort()
             return
         left = 0 if self.fd < 0 else self._transport.get_write_buffer_size()
-        if self.ended and self.fd >= 0:  # it is closed after this, which what is unread would make a reset
-            left += http.unsent(self.fd)
+        if self.ended and self.fd >= 0:  # it is closed after this
+            left += self._at_risk()
         if left != self._left:
             self._left, self._since = left, now if left else self._since
         waited = now - self._since
