Keep a probe's connection for the next claim or probe, and count probes and their losses

Found by reading, for the second deployment is the first on which probes are ordered: Pool.probe borrowed an idle connection, or opened one, and closed it always ("a connection of the probe's own"): a handshake (2 to 3 round trips, 1.5 to 5 ms of the upstream's work there) for each probe, and another for the claim whose connection it took. A clean one is given back after the same rest of 5 ms as a claim's. A probe's answer without figures, or with absurd ones, costs that report and is counted (probes_without_figures); probes are counted by their end (probe_served ...). Tests: test_probes_and_claims_share_connections, test_probe_with_absurd_figures_costs_that_report_only, which fail before.

--- a/indigokeel/net/pool.py
+++ b/indigokeel/net/pool.py
@@ -274,13 +274,21 @@
         self.connections.retire(now)
 
     async def probe(self, node: str) -> tuple[Outcome, dict[str, float] | None]:
-        """Ask an execute node for its load, on a connection of the probe's own."""
+        """Ask an execute node for its load, on a connection that stays for the next claim or probe."""
+        outcome, load = await self._probe(node)
+        self._counters.add("probe_" + outcome.name.lower())
+        if outcome is Outcome.SERVED and load is None:  # that report is lost, and nothing else
+            self._counters.add("probes_without_figures")
+        return outcome, load
+
+    async def _probe(self, node: str) -> tuple[Outcome, dict[str, float] | None]:
         address = self._facade.address(node)
         if address is None:
             return Outcome.MOOT, None
         loop = asyncio.get_running_loop()
         up: asyncio.Future[Link | None] = loop.create_future()
-        answer: asyncio.Future[Reply] = loop.create_future()
+        answer: asyncio.Future[tuple[Reply, bool]] = loop.create_future()
+        clean, talk = False, None
         found = self.connections.borrow(
             node, address, self._connect_timeout, lambda link: None if up.done() else up.set_result(link)
         )
@@ -291,20 +299,22 @@
                     link = await up
                 if link is None:
                     return Outcome.NO_CONNECTION, None
+                assert isinstance(link.conversation, Talk)
                 talk = link.conversation
-                assert isinstance(talk, Talk)
                 talk.ask(
                     [b"GET /_load HTTP/1.1\r\nHost: %s\r\n\r\n" % talk.host],
-                    lambda reply, _: None if answer.done() else answer.set_result(reply),
+                    lambda *answered: None if answer.done() else answer.set_result(answered),
                 )
-                reply = await answer
+                reply, clean = await answer
         except TimeoutError:
             return Outcome.NO_CONNECTION if link is None else Outcome.TIMED_OUT, None
         finally:
             # Given up at the very step at which it came up, it is in the future and must not stay there.
             if link is None and up.done() and not up.cancelled():
                 link = up.result()
-            if link is not None:
+            if link is not None and talk is not None and clean:
+                loop.call_later(_REST, self._rested, link, talk)
+            elif link is not None:
                 self.connections.close(link)
             elif isinstance(found, Ticket):
                 self.connections.cancel(found)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -45,6 +45,59 @@
     assert asyncio.run(pool.probe("s-1")) == (Outcome.MOOT, None)
 
 
+async def rested(pool: Pool) -> None:
+    """Wait until a connection stands idle."""
+    for _ in range(2000):
+        if pool.connections.idle():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError("no connection was kept")
+
+
+def test_probes_and_claims_share_connections() -> None:
+    """Found by reading, before the second deployment: each probe took an idle connection, or made one, and
+    closed it: a handshake for each probe, and one for the next claim."""
+    from_each: list[int] = []
+
+    async def play() -> dict[Outcome, int]:
+        facade = Facade(decode_settings(peers.SETTINGS), 1, 0.0)
+        facade.listed(0.0, machine_list(peers.machine_list(peers.entry("s-0", node.port))))
+        counters = Counters("t")
+        pool = Pool(facade, counters, 0.25, 30.0, 8)
+        loop, ended = asyncio.get_running_loop(), []
+        for number in range(5):
+            assert (await pool.probe("s-0"))[0] is Outcome.SERVED
+            await rested(pool)
+            now = time.monotonic()
+            claim = facade.pick(now, Job(f"j{number}", "view", 60.0)).claims[0]
+            done: asyncio.Future[Outcome] = loop.create_future()
+            task = Task(b"GET", b"/view/k", b"%d" % number, None, [], False)
+            pool.start(claim, task, lambda claim, reply, done=done: done.set_result(reply.outcome))  # type: ignore[misc]
+            ended.append(await done)
+            await rested(pool)
+        from_each.append(counters["node_connections"])
+        pool.close_idle("s-0")
+        return {outcome: ended.count(outcome) for outcome in ended}
+
+    node = peers.Peer(lambda message: peers.ok(b"inflight=7,util=0.5"))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(play()) == {Outcome.SERVED: 5}
+    assert from_each == [1] and len(node.got) == 10
+    node.close()
+
+
+@pytest.mark.parametrize("body", [b"", b"inflight=-1,util=x", b"inflight=1e99", b"{}", b"\xff\x00"])
+def test_probe_with_absurd_figures_costs_that_report_only(body: bytes) -> None:
+    node = peers.Peer(lambda message: peers.ok(body))
+    facade = Facade(decode_settings(peers.SETTINGS), 1, 0.0)
+    facade.listed(0.0, machine_list(peers.machine_list(peers.entry("s-0", node.port))))
+    counters = Counters("t")
+    pool = Pool(facade, counters, 0.25, 30.0, 8)
+    assert asyncio.run(pool.probe("s-0")) == (Outcome.SERVED, None)
+    assert counters["probes_without_figures"] == counters["probe_served"] == 1
+    node.close()
+
+
 def test_connections_are_not_used_at_ages_at_which_claims_break() -> None:
     """Found on a day that dropped connections idle for 0.1 s: half of the claims on them broke."""
     risk = IdleRisk()
