--- a/indigokeel/net/sidecar.py
+++ b/indigokeel/net/sidecar.py
@@ -38,8 +38,7 @@
 _RETIRE = 5  # looks between those at idle connections to execute nodes
 _AUDIT = 25  # looks between audits of the descriptors
 _BACKLOG = 512
-_SPARE = 12  # of the reserve, for new clients while all others are at work
-_MOST_CLOSED = 2  # client connections closed for a new one: one that is told first goes with the next
+_SPARE = 12  # of the reserve: for new clients while all others are at work or have yet to read a last word
 _STOOD = 0.02  # s by which the clock is late where the sockets are looked at first
 _SYNC = 0.05  # s between looks at what another process of this sidecar was told
 _LEAVE = 1.0  # s between two writings of what the next process starts from ...
@@ -154,10 +153,9 @@
     def joined(self, session: Session) -> None:
         self._counters.add("submitter_connections")
         self._sessions.joined(session, time.monotonic())
-        for _ in range(_MOST_CLOSED):
-            if not self._sessions.too_many():
-                break
-            self._make_room(session)
+        for spare in (0, _SPARE):  # one that is told first goes with the next
+            if self._sessions.too_many(spare):
+                self._make_room(session)
 
     def crowded(self) -> bool:
         return self._sessions.crowded()
