Count own attempts as held only once they can be: long uploads looked like full upstreams

At fault: Balancer._take_report kept in_flight less own attempts, but not less than 0, so what had not arrived counted as held. Ruled out: the usual latency (0.04 to 0.17 s, sound), the limit of two. Test: test_own_attempts_that_have_not_arrived_yet_are_not_held, fails before.

--- a/indigokeel/decision/balancer.py
+++ b/indigokeel/decision/balancer.py
@@ -307,7 +307,7 @@
 
     def _take_report(self, now: float, upstream: Upstream, load: Load | None) -> None:
         if load is not None and load.in_flight is not None:
-            upstream.others, upstream.told = max(load.in_flight - upstream.open, 0.0), now
+            upstream.others, upstream.told = load.in_flight - upstream.open, now
         if load is not None and load.rate is not None and load.utilisation is not None:
             upstream.report(now, load.rate, load.utilisation)
 
--- a/indigokeel/decision/records.py
+++ b/indigokeel/decision/records.py
@@ -45,7 +45,7 @@
         self.jail_time = QUARANTINE_FIRST
         self.silent = False  # it was put in quarantine for saying nothing, not for errors
         self.open = 0  # own attempts out
-        self.others, self.told = 0.0, -math.inf  # other sidecars' that it holds, and when it said so
+        self.others, self.told = 0.0, -math.inf  # what it held beyond them, and when it said so
         self.overdue = 0  # those of them that have been out for too long
         self.probing = False
         self.probed = -math.inf
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -493,6 +493,16 @@
     assert [action.id for action in of(actions, api.Refuse)] == [name] and not of(actions, api.SetTimer)
 
 
+def test_own_attempts_that_have_not_arrived_yet_are_not_held() -> None:
+    """Found on a day of long bodies: three uploads a server were under way, of which it held none, and one
+    request in four was refused."""
+    driver = Driver(PROBED, named("a"))
+    for _ in range(5):
+        assert sends(driver.request()[1])
+    in_flight(driver, a=0)
+    assert [bool(sends(driver.request()[1])) for _ in range(4)] == [True, True, False, False]
+
+
 def test_what_was_held_long_ago_tells_nothing() -> None:
     driver = Driver(PROBED, named("a"))
     in_flight(driver, a=9)
