--- a/tests/test_fleet_hard.py
+++ b/tests/test_fleet_hard.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
 
 from indigokeel.decision import interface as api
 from indigokeel.machine_list import Machine, MachineList
 from indigokeel.orders import Job, Verdict
+from tests.peers import SETTINGS, echo, entry, job, machine_list, running, until
+from tests.test_endings import HEALTH
 from tests.test_fleet import Fleet, machine
 
 BUDGET = 0.7
@@ -81,3 +88,36 @@
     one.check()
     assert one.served(names) == 1.0
     assert not {m.name for m in warm} & set(one.sends)
+
+
+@pytest.mark.parametrize("sidecars", [1, 1024])
+def test_list_of_many_members_comes_whole_and_as_changes(tmp_path: Path, sidecars: int) -> None:
+    """1,500 members and 1,024 sidecars, on real sockets: all listed, all changed, all but one gone."""
+    settings = {**SETTINGS, "balancers": sidecars, "me": sidecars - 1}
+    with running(tmp_path, echo, settings=settings) as (program, (node,), discovery):
+
+        def many(state: str) -> list[dict[str, Any]]:
+            return [entry(f"s-{number}", node.port, state) for number in range(1500)]
+
+        until(lambda: bool(discovery.watches))
+        for index, (entries, whole, code) in enumerate(
+            [
+                (many("Ready"), True, 200),
+                (many("Terminating"), False, 503),
+                (many("Ready")[700:], False, 200),
+                (many("Gone"), False, 503),
+                (many("Ready")[1499:], False, 200),
+            ],
+            start=2,
+        ):
+            discovery.push(json.dumps(machine_list(*entries, index=index, whole=whole)).encode())
+            until(lambda: program.counters().get("machine_lists", 0) == index - 1)  # noqa: B023
+            assert program.ask(HEALTH)[0] == code
+            if code == 200:
+                assert program.ask(job("pay", b"x"))[1].body == b"x"
+        counters = program.counters()
+        assert (counters["owed"], counters["module_faults"], counters.get("discovery_failures", 0)) == (
+            0,
+            0,
+            0,
+        )
