--- a/indigokeel/config.py
+++ b/indigokeel/config.py
@@ -7,10 +7,10 @@
 
 import contextlib
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
 
@@ -37,6 +37,9 @@
 }
 
 
+T = TypeVar("T")
+
+
 class SettingsError(ValueError):
     """Settings of a wrong shape."""
 
@@ -149,72 +152,121 @@
     return ""
 
 
+class _Part:
+    """One object of the settings. What is missing or cannot be used is told by its path."""
+
+    def __init__(self, data: Any, path: str = "settings") -> None:
+        if not isinstance(data, dict):
+            raise SettingsError(f"{path}: not an object, of a wrong shape")
+        self._data, self.path = data, path
+
+    def part(self, key: str) -> _Part:
+        found = self._data.get(key)
+        return _Part({} if found is None else found, f"{self.path}.{key}")
+
+    def parts(self, key: str, needed: bool = False) -> list[_Part]:
+        items = self._data.get(key)
+        if items is None and not needed:
+            return []
+        if items is None:
+            raise SettingsError(f"{self.path}: {key!r} is missing")
+        if not isinstance(items, list):
+            raise SettingsError(f"{self.path}.{key}: not a list, of a wrong shape")
+        return [_Part(item, f"{self.path}.{key}[{number}]") for number, item in enumerate(items)]
+
+    def read(self, key: str, turn: Callable[[Any], T], default: T | None = None) -> T:
+        """The value as ``turn`` makes it; without a default it is needed."""
+        value = self._data.get(key)
+        if value is None:
+            if default is None:
+                raise SettingsError(f"{self.path}: {key!r} is missing")
+            return default
+        try:
+            return turn(value)
+        except (KeyError, ValueError, TypeError, OverflowError):
+            raise SettingsError(f"{self.path}.{key}: {str(value)[:60]!r} cannot be used") from None
+
+    def number(self, key: str, default: float | None = None) -> float:
+        return self.read(key, _number, default)
+
+    def flag(self, key: str) -> bool:
+        return self.read(key, bool, False)
+
+
+def _number(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError
+    return number
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError
+    return value
+
+
 def decode_settings(data: Any) -> api.Settings:
-    """Turn the settings object into the module's settings; unknown keys are skipped."""
+    """Turn the settings object into the module's settings; unknown keys are skipped, and what is not there
+    has the protocol's default. Raises SettingsError, which names the field."""
     if not isinstance(data, dict):
         raise SettingsError("settings are not an object")
-    try:
-        return _settings(data)
-    except (AttributeError, TypeError) as error:
-        raise SettingsError(f"settings of a wrong shape: {error}") from None
-
-
-def _settings(data: dict[str, Any]) -> api.Settings:
-    limits, safety, prices = data.get("limits", {}), data.get("safety", {}), data.get("prices", {})
+    top = _Part(data)
+    limits, safety, prices = top.part("limits"), top.part("safety"), top.part("prices")
     return api.Settings(
         classes=tuple(
             api.ClassSettings(
-                name=item["name"],
-                aim=float(item["objective-s"]),
-                deadline=float(item["deadline-s"]),
-                effect=api.Effect(item["effect"]),
-                group=api.Group(item.get("group", "all")),
-                repeat_window=float(item.get("repeat-window-s", 0.0)),
-                worth=float(item.get("importance", 1.0)),
-                late_worth=float(item.get("late-worth", 0.0)),
-                streaming=bool(item.get("streaming", False)),
-                aim_stretch=float(item.get("aim-stretch", 0.0)),
+                name=item.read("name", _text),
+                aim=item.number("objective-s"),
+                deadline=item.number("deadline-s"),
+                effect=item.read("effect", api.Effect),
+                group=item.read("group", api.Group, api.Group.ALL),
+                repeat_window=item.number("repeat-window-s", 0.0),
+                worth=item.number("importance", 1.0),
+                late_worth=item.number("late-worth", 0.0),
+                streaming=item.flag("streaming"),
+                aim_stretch=item.number("aim-stretch", 0.0),
             )
-            for item in data["classes"]
+            for item in top.parts("classes", needed=True)
         ),
-        me=int(data.get("me", 0)),
-        sidecars=int(data.get("balancers", 1)),
-        zone=str(data.get("zone", "")),
+        me=top.read("me", int, 0),
+        sidecars=top.read("balancers", int, 1),
+        zone=top.read("zone", str, ""),
         tenants=tuple(
             api.TenantSettings(
-                item["name"], float(item.get("share", 0.0)), float(item.get("quota-per-s", 0.0))
+                item.read("name", _text), item.number("share", 0.0), item.number("quota-per-s", 0.0)
             )
-            for item in data.get("tenants") or ()
+            for item in top.parts("tenants")
         ),
         limits=api.Limits(
-            cancelling=bool(limits.get("cancelling", False)),
-            second_copies=bool(limits.get("second-copies", False)),
-            probes=bool(limits.get("probes", False)),
-            max_attempts=int(limits.get("max-attempts", 1)),
-            connect_timeout=float(limits.get("connect-timeout-s", 0.25)),
-            keepalive=float(limits.get("keepalive-s", 15.0)),
-            retry_after=bool(limits.get("retry-after", False)),
-            max_retry_after=float(limits.get("max-retry-after-s", 0.0)),
-            max_open=int(limits.get("max-open", 20_000)),
+            cancelling=limits.flag("cancelling"),
+            second_copies=limits.flag("second-copies"),
+            probes=limits.flag("probes"),
+            max_attempts=limits.read("max-attempts", int, 1),
+            connect_timeout=limits.number("connect-timeout-s", 0.25),
+            keepalive=limits.number("keepalive-s", 15.0),
+            retry_after=limits.flag("retry-after"),
+            max_retry_after=limits.number("max-retry-after-s", 0.0),
+            max_open=limits.read("max-open", int, 20_000),
         ),
         safety=api.Safety(
-            ask_within=float(safety.get("ask-within-s", 10.0)),
-            cold_from=float(safety.get("cold-from", 0.3)),
-            warm_within=float(safety.get("warm-within-s", 10.0)),
-            drain_grace=float(safety.get("drain-grace-s", 1.0)),
-            tip_multiple=float(safety.get("tip-multiple", 3.0)),
-            overload_for=float(safety.get("overload-for-s", 2.0)),
+            ask_within=safety.number("ask-within-s", 10.0),
+            cold_from=safety.number("cold-from", 0.3),
+            warm_within=safety.number("warm-within-s", 10.0),
+            drain_grace=safety.number("drain-grace-s", 1.0),
+            tip_multiple=safety.number("tip-multiple", 3.0),
+            overload_for=safety.number("overload-for-s", 2.0),
         ),
         prices=api.Prices(
-            cross_zone=float(prices.get("cross-zone", 0.0)),
-            probe=float(prices.get("probe", 0.0)),
-            handshake=float(prices.get("handshake", 0.0)),
-            connection=float(prices.get("connection", 0.0)),
+            cross_zone=prices.number("cross-zone", 0.0),
+            probe=prices.number("probe", 0.0),
+            handshake=prices.number("handshake", 0.0),
+            connection=prices.number("connection", 0.0),
         ),
-        reports=_REPORTS.get(data.get("telemetry", {}).get("how", "none"), api.Reports.NONE),
-        ask_membership=data.get("membership-mode") == "on_request",
-        scale_is_size=data.get("weights") in ("nominal", "rough"),
-        warm_keys=bool(data.get("specifics", {}).get("warm-keys", False)),
-        worth_by_work=data.get("counted-by") == "work",
-        over_share_worth=float(data.get("over-share-worth", 1.0)),
+        reports=top.part("telemetry").read("how", _REPORTS.__getitem__, api.Reports.NONE),
+        ask_membership=top.read("membership-mode", str, "") == "on_request",
+        scale_is_size=top.read("weights", str, "") in ("nominal", "rough"),
+        warm_keys=top.part("specifics").flag("warm-keys"),
+        worth_by_work=top.read("counted-by", str, "") == "work",
+        over_share_worth=top.number("over-share-worth", 1.0),
     )
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from indigokeel.config import ConfigError, decode_settings, load_config
+from indigokeel.decision import interface as api
 from indigokeel.decision.interface import State
 from indigokeel.machine_list import ListError, decode, parse_address
 from indigokeel.net.http import MalformedError, load_figures
@@ -149,6 +150,25 @@
         ({"settings": {"classes": 1}}, "wrong shape"),
         ({"settings": {}}, "'classes' is missing"),
         ({"known": {"index": 1}}, "not a machine list"),
+        *[
+            ({"settings": {**SETTINGS, key: value}}, told)
+            for key, value, told in [
+                (
+                    "classes",
+                    [{**SETTINGS["classes"][0], "effect": "odd"}],
+                    r"settings\.classes\[0\]\.effect: 'odd'",
+                ),
+                ("classes", [{"name": "view"}], r"settings\.classes\[0\]: 'objective-s' is missing"),
+                ("classes", [{**SETTINGS["classes"][2], "group": 7}], r"settings\.classes\[0\]\.group: '7'"),
+                ("limits", {"max-attempts": "many"}, r"settings\.limits\.max-attempts: 'many'"),
+                ("limits", 5, r"settings\.limits: not an object"),
+                ("safety", {"warm-within-s": "1e999"}, r"settings\.safety\.warm-within-s: '1e999'"),
+                ("prices", {"probe": []}, r"settings\.prices\.probe: '\[\]'"),
+                ("telemetry", {"how": "pigeon"}, r"settings\.telemetry\.how: 'pigeon'"),
+                ("tenants", [{"share": 1}], r"settings\.tenants\[0\]: 'name' is missing"),
+                ("me", "x", r"settings\.me: 'x'"),
+            ]
+        ],
         ({"limits": 3}, None),
     ],
 )
@@ -159,3 +179,23 @@
         load_config({"BALANCER_CONFIG": str(path)})
     with pytest.raises(ConfigError):
         load_config({})
+
+
+def test_settings_without_what_can_be_done_without_have_the_defaults() -> None:
+    least = {"classes": [{"name": "view", "objective-s": 0.5, "deadline-s": 1.0, "effect": "safe"}]}
+    optional = (
+        "limits",
+        "safety",
+        "prices",
+        "telemetry",
+        "tenants",
+        "specifics",
+        "membership-mode",
+        "weights",
+    )
+    assert decode_settings(least) == decode_settings({**least, **dict.fromkeys(optional)})
+    assert decode_settings(least) == api.Settings(
+        classes=(api.ClassSettings("view", aim=0.5, deadline=1.0, effect=api.Effect.SAFE),),
+        limits=api.Limits(cancelling=False, second_copies=False, max_attempts=1),
+        reports=api.Reports.NONE,
+    )
