Let all events of one call reach the module, however many jobs are open

Forced: 1,200 long jobs wait for a node and one list brings three: 201 attempts counted as overdue, for the module was never told that their answers have their own time. The guard against a loop without an end now grows with the open jobs. Test: test_news_for_many_jobs_reach_the_module_whole, fails before (201 for 0). Ruled out as caps: lists (1,500 members tested), _MOST_GONE (names kept for operators).

--- a/indigokeel/facade.py
+++ b/indigokeel/facade.py
@@ -29,7 +29,10 @@
 _MOST_DEAD = 256  # entries of closed jobs that the agenda may hold, where they are not half of it
 _MOST_WARMED = 64  # execute nodes: on a larger fleet a sidecar uses but a part, and opens nothing ahead
 _MOST_GONE = 1024  # names kept of nodes that are listed no more: operators may name them
-_MOST_EVENTS = 1000  # that one call may set off in the module: guards against a loop that never ends
+# Events that one call may set off in the module, and as many for each open job: guards against a loop that
+# never ends.
+_MOST_EVENTS = 1000
+_MOST_EACH = 8
 
 
 class _OpenClaim:
@@ -402,7 +405,7 @@
 
     def _feed(self, now: float, event: api.Event, orders: Orders, job: _OpenJob | None = None) -> None:
         events = [event]
-        for number in range(_MOST_EVENTS):
+        for number in range(_MOST_EVENTS + _MOST_EACH * len(self._jobs)):
             if number >= len(events):
                 break
             try:
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -177,3 +177,18 @@
     while facade.due() < 122.0:
         answers += facade.tick(facade.due()).answers
     assert [answer.job for answer in answers] == ["last"]
+
+
+def test_news_for_many_jobs_reach_the_module_whole() -> None:
+    """Found by reading: of the events that one call sets off, those after the first 1,000 were dropped. Here
+    1,200 long jobs wait for a node, and for each the module is told that its answer has its own time."""
+    facade, count = start(limits=api.Limits(second_copies=True)), 1200
+    facade.listed(100.0, MachineList(2, True, ()))
+    for number in range(count):
+        facade.pick(100.0, Job(f"j{number}", "view", 60.0, long=True))
+    orders = facade.listed(100.1, MachineList(3, True, NODES))
+    assert len(orders.claims) == count
+    facade.tick(110.0)  # long after any answer would be overdue
+    upstreams = facade._balancer.known()[1].values()
+    assert sum(upstream.open for upstream in upstreams) == count
+    assert sum(upstream.overdue for upstream in upstreams) == 0
