--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
+import os
 import signal
 import socket
 import struct
@@ -14,6 +16,8 @@
 
 import pytest
 
+from indigokeel.config import load_config
+from indigokeel.net import sidecar
 from indigokeel.net.client_connections import ClientConnections
 from tests.peers import (
     SETTINGS,
@@ -437,3 +441,44 @@
 
 def _taken(program: Program, count: int) -> None:
     until(lambda: program.counters().get("jobs_taken", 0) == count)
+
+
+def test_message_whose_last_byte_comes_as_the_process_ends_is_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Half a message may become whole for a moment after the listener has gone. Its last byte comes here when
+    that moment is over and the loop has not read it: before the last look at what is owed."""
+    node = Peer(echo)
+    config = tmp_path / "config.json"
+    known = machine_list(entry("s-0", node.port))
+    addresses = {"listen": "127.0.0.1:3000", "discovery": "127.0.0.1:1"}  # neither is used
+    config.write_text(json.dumps({"name": "n0", **addresses, "known": known, "settings": SETTINGS}))
+    monkeypatch.setattr(sidecar, "_ACCEPT_ON", 0.0)
+    monkeypatch.setattr(sidecar, "_HALF_READ", 0.0)
+    loaded, owed = load_config({"BALANCER_CONFIG": str(config)}), sidecar.Sidecar._anything_owed
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as conn:
+        listener.setblocking(False)
+        conn.settimeout(WAIT)
+        message = job("pay", b"last")
+        sent = 0
+
+        def late(self: sidecar.Sidecar) -> bool:
+            nonlocal sent
+            if not sent:
+                sent = conn.send(message[-1:])
+            return owed(self)
+
+        monkeypatch.setattr(sidecar.Sidecar, "_anything_owed", late)
+
+        async def play() -> None:
+            served = asyncio.create_task(sidecar.serve(loaded, listener))
+            conn.connect(listener.getsockname())
+            conn.sendall(message[:-1])
+            await asyncio.sleep(0.1)  # it is accepted and half of it read; a longer time does no harm
+            os.kill(os.getpid(), signal.SIGTERM)
+            await served
+
+        asyncio.run(play())
+        code, answer = read_answer(conn.makefile("rb"))
+        assert sent == 1 and (code, answer.body) == (200, b"last")
+    node.close()
