--- a/indigokeel/net/client_connections.py
+++ b/indigokeel/net/client_connections.py
@@ -25,7 +25,7 @@
     def stuck_for(self, now: float) -> float: ...
 
     def unwritten(self) -> bool:
-        """Whether its peer's system has not got all that was written to it."""
+        """Whether some of what was written to it would be lost, were it closed now."""
 
     def __hash__(self) -> int: ...
 
