--- a/indigokeel/config.py
+++ b/indigokeel/config.py
@@ -166,10 +166,10 @@
 
     def parts(self, key: str, needed: bool = False) -> list[_Part]:
         items = self._data.get(key)
-        if items is None and not needed:
-            return []
         if items is None:
-            raise SettingsError(f"{self.path}: {key!r} is missing")
+            if needed:
+                raise SettingsError(f"{self.path}: {key!r} is missing")
+            return []
         if not isinstance(items, list):
             raise SettingsError(f"{self.path}.{key}: not a list, of a wrong shape")
         return [_Part(item, f"{self.path}.{key}[{number}]") for number, item in enumerate(items)]
@@ -209,8 +209,6 @@
 def decode_settings(data: Any) -> api.Settings:
     """Turn the settings object into the module's settings; unknown keys are skipped, and what is not there
     has the protocol's default. Raises SettingsError, which names the field."""
-    if not isinstance(data, dict):
-        raise SettingsError("settings are not an object")
     top = _Part(data)
     limits, safety, prices = top.part("limits"), top.part("safety"), top.part("prices")
     return api.Settings(
