balancing: compare a report's expiry by one stored time, so that a refresh always ends

What callers saw: a sidecar with more than 16 upstreams stood still for good, with its listener open; every caller waited. Cause: the index took a report for expired at `t + span <= now` (heap), the window dropped it at `t < now - span`. Where both disagree (at the expiry itself and, as (t + span) - span is not always t, some floats beside it), the entry was popped, not dropped, scheduled anew for the same time, and popped again. Ruled out: the comparison of the heap alone (`< now` still hangs beside the expiry at some times). Change: the window stores the time of expiry with each sample, and both sides compare that number with `<`. A report still counts at its last instant, as before. Also, a refresh takes what is due when it begins, each member once, so that no update can prolong it.

--- a/indigokeel/balancing/selection_index.py
+++ b/indigokeel/balancing/selection_index.py
@@ -116,12 +116,13 @@
         self.max_weight = max((u.weight for u in self._contributions), default=0.0)
 
     def refresh(self, now: float) -> None:
-        """Update the members that changed and those with an expired report."""
-        while self._changed:
-            self.update(now, self._changed.popitem()[0])
-        while self._expiries and self._expiries[0][0] <= now:
-            upstream = heapq.heappop(self._expiries)[2]
-            self._in_expiries.discard(upstream)
+        """Update the members that changed and those with an expired report, each once.
+
+        What an update changes or schedules is left for the next refresh.
+        """
+        for upstream in self._take_changed():
+            self.update(now, upstream)
+        for upstream in self._take_expired(now):
             if upstream.listener is self:
                 self.update(now, upstream)
 
@@ -156,6 +157,19 @@
         contribution.open_attempts += change
         contribution.partition.open_attempts += change
 
+    def _take_changed(self) -> list[UpstreamState]:
+        changed = list(reversed(self._changed))
+        self._changed.clear()
+        return changed
+
+    def _take_expired(self, now: float) -> list[UpstreamState]:
+        """Remove the members whose oldest report has expired from the heap, and return them."""
+        expired = []
+        while self._expiries and self._expiries[0][0] < now:
+            expired.append(heapq.heappop(self._expiries)[2])
+        self._in_expiries.difference_update(expired)
+        return expired
+
     def _partition_of(self, upstream: UpstreamState) -> Partition:
         return self.available if upstream.utilisation <= self._busy_utilisation else self.busy
 
--- a/indigokeel/balancing/statistics.py
+++ b/indigokeel/balancing/statistics.py
@@ -121,7 +121,7 @@
 
     def __init__(self, span_s: float) -> None:
         self.span_s = span_s
-        self._samples: deque[tuple[float, int, int]] = deque()
+        self._samples: deque[tuple[float, int, int]] = deque()  # the clock time of its expiry first
         self._first_sum = 0
         self._second_sum = 0
 
@@ -132,15 +132,14 @@
         """Add a sample at clock time ``now``."""
         fixed_first = int(first * _FIXED_POINT_UNIT)
         fixed_second = int(second * _FIXED_POINT_UNIT)
-        self._samples.append((now, fixed_first, fixed_second))
+        self._samples.append((now + self.span_s, fixed_first, fixed_second))
         self._first_sum += fixed_first
         self._second_sum += fixed_second
 
     def means(self, now: float) -> tuple[float, float] | None:
         """Drop expired samples and return the two means, or None without a sample."""
         samples = self._samples
-        oldest = now - self.span_s
-        while samples and samples[0][0] < oldest:
+        while samples and samples[0][0] < now:
             _, first, second = samples.popleft()
             self._first_sum -= first
             self._second_sum -= second
@@ -150,5 +149,5 @@
         return self._first_sum / divisor, self._second_sum / divisor
 
     def next_expiry(self) -> float:
-        """Return the clock time at which the oldest sample expires; infinite without a sample."""
-        return self._samples[0][0] + self.span_s if self._samples else math.inf
+        """Return the last clock time at which the oldest sample counts; infinite without a sample."""
+        return self._samples[0][0] if self._samples else math.inf
--- a/tests/unit/balancing/test_selection_index.py
+++ b/tests/unit/balancing/test_selection_index.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from indigokeel.balancing.events import EndpointState, LoadReport
 from indigokeel.balancing.selection_index import SelectionIndex
@@ -63,3 +66,40 @@
     index.replace(1000.0, [upstream])
     index.refresh(upstream.reports.next_expiry())
     assert updates < 10
+
+
+CLOCK_S = st.one_of(
+    st.floats(0.0, 1e-3),
+    st.floats(0.0, 3.2e7),  # up to a machine's uptime of a year
+    st.integers(0, 32 * 10**9).map(lambda ms: ms / 1000.0),  # a clock of coarse steps
+)
+
+
+@given(st.lists(CLOCK_S, min_size=1, max_size=6, unique=True), st.sampled_from((-2, -1, 0, 1, 2)))
+def test_refresh_updates_each_member_once_at_and_beside_each_expiry(times: list[float], floats: int) -> None:
+    """Guards against a refresh that never ends: the times of expiry and the check must agree to the float."""
+    updates: list[UpstreamState] = []
+
+    def update_weight(now: float, upstream: UpstreamState) -> None:
+        updates.append(upstream)
+        if len(updates) > 1000:
+            raise EndlessUpdateError
+        upstream.average_reports(now)
+
+    index = SelectionIndex(update_weight, BUSY_UTILISATION)
+    upstream = UpstreamState(make_members(1)[0], ShrinkageEstimate(None, 0.05))
+    for reported_at in sorted(times):
+        upstream.record_load_report(reported_at, LoadReport(rate=20.0, utilisation=0.5))
+    index.replace(min(times), [upstream])
+    while upstream.reports:
+        expiry = upstream.reports.next_expiry()
+        now = expiry
+        for _ in range(abs(floats)):
+            now = math.nextafter(now, math.inf if floats > 0 else -math.inf)
+        left = len(upstream.reports)
+        updates.clear()
+        index.refresh(now)
+        assert len(updates) <= 1
+        assert (len(upstream.reports) < left) is (expiry < now)
+        index.refresh(math.nextafter(expiry, math.inf))
+        assert len(upstream.reports) < left
