requests: bound a tick by the timers that are due when it begins

`tick` ran until nothing was due, so a callback that sets a timer for the same instant would keep the event loop from its sockets for good. No callback does so today (the wait for a list, overdue attempts, cordons and calls to discovery were read: each is set once, or for a time that its own check excludes). Change: a tick takes the timers that are due and runs each once, unless an earlier one closed its owner; what they set for this instant runs in the next turn of the loop, after the sockets were polled. ticks_cut_short counts such ticks. Seen to fail before: test_timer_that_sets_itself_anew_at_once_is_run_once_a_tick.

--- a/indigokeel/process/counter_report.py
+++ b/indigokeel/process/counter_report.py
@@ -36,6 +36,7 @@
         self._counters.dump(
             requests_unanswered=self._coordinator.unanswered,
             balancer_faults=self._coordinator.faults,
+            ticks_cut_short=self._coordinator.ticks_cut_short,
             cordoned=len(self._coordinator.cordons.active_records(time.monotonic())),
             client_connections_open=len(self._clients),
             upstream_connections_open=self._upstream_client.open,
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -46,6 +46,7 @@
         self._requests = OpenRequests(settings, self._timers)
         self._driver = BalancerDriver(self._balancer, self._requests, self._directory, self._timers)
         self._timer_faults = 0
+        self.ticks_cut_short = 0  # calls of ``tick`` that left a due timer for the next call
 
     @property
     def cordons(self) -> Cordons:
@@ -182,14 +183,18 @@
         return effects
 
     def tick(self, now: float) -> Effects:
-        """Run all timers that are due."""
+        """Run the timers that are due; one that they set for this instant is left for the next call."""
         effects = Effects()
-        while (callback := self._timers.pop_due(now)) is not None:
+        for timer in self._timers.take_due(now):
+            if timer.is_dropped():
+                continue
             try:
-                callback(now, effects)
+                timer.callback(now, effects)
             except Exception as error:  # costs this timer, and none of the effects of the others
                 self._timer_faults += 1
                 effects.notes.append(f"fault in a timer: {type(error).__name__}: {error}")
+        if self._timers.next_deadline() <= now:
+            self.ticks_cut_short += 1
         return effects
 
     def apply_settings(self, settings: Settings) -> None:
--- a/indigokeel/requests/timer_queue.py
+++ b/indigokeel/requests/timer_queue.py
@@ -21,7 +21,9 @@
     pending_timers: int
 
 
-class _Timer(NamedTuple):
+class Timer(NamedTuple):
+    """One call at a clock time."""
+
     due_at: float
     serial: int  # keeps the order of timers that are due at the same time
     callback: TimerCallback
@@ -36,7 +38,7 @@
     """A heap of timers. Those of closed owners are removed lazily, within a bound."""
 
     def __init__(self) -> None:
-        self._timers: list[_Timer] = []
+        self._timers: list[Timer] = []
         self._scheduled = 0
         self._dropped = 0
 
@@ -49,7 +51,7 @@
         self._scheduled += 1
         if owner is not None:
             owner.pending_timers += 1
-        heapq.heappush(self._timers, _Timer(due_at, self._scheduled, callback, owner))
+        heapq.heappush(self._timers, Timer(due_at, self._scheduled, callback, owner))
 
     def next_deadline(self) -> float:
         """Return the clock time of the next timer, or infinity if there is none."""
@@ -58,14 +60,18 @@
             self._dropped -= 1
         return self._timers[0].due_at if self._timers else math.inf
 
-    def pop_due(self, now: float) -> TimerCallback | None:
-        """Remove the next timer that is due and return its callback, or None if none is due."""
-        if self.next_deadline() > now:
-            return None
-        timer = heapq.heappop(self._timers)
-        if timer.owner is not None:
-            timer.owner.pending_timers -= 1
-        return timer.callback
+    def take_due(self, now: float) -> list[Timer]:
+        """Remove the timers that are due and return them in order.
+
+        A timer may be dropped after that by the callback of one before it.
+        """
+        due = []
+        while self.next_deadline() <= now:
+            timer = heapq.heappop(self._timers)
+            if timer.owner is not None:
+                timer.owner.pending_timers -= 1
+            due.append(timer)
+        return due
 
     def drop_timers_of(self, owner: TimerOwner) -> None:
         """Drop the timers of an owner that has just been closed.
--- a/tests/unit/requests/test_coordinator.py
+++ b/tests/unit/requests/test_coordinator.py
@@ -256,3 +256,41 @@
     (attempt,) = coordinator.report(100.0, attempt, AttemptOutcome.NOT_SENT).attempts
     assert coordinator.may_begin(100.0, attempt)
     assert not coordinator.report(100.1, attempt, AttemptOutcome.REJECTED).attempts  # the one that is allowed
+
+
+def test_timer_that_sets_itself_anew_at_once_is_run_once_a_tick() -> None:
+    """Guards against a tick that never ends: what a callback sets for this instant waits for the next one."""
+    coordinator = start()
+    runs: list[str] = []
+
+    def repeat(now: float, _: Effects) -> None:
+        runs.append("repeats")
+        if len(runs) > 100:
+            raise RecursionError
+        coordinator._timers.schedule(now, repeat)
+
+    coordinator._timers.schedule(100.0, repeat)
+    coordinator._timers.schedule(100.0, lambda _now, _effects: runs.append("other"))
+    for tick in range(1, 4):
+        coordinator.tick(100.0)
+        assert runs.count("repeats") == tick
+        assert coordinator.next_deadline() <= 100.0
+    assert runs.count("other") == 1 and coordinator.ticks_cut_short == 3
+
+
+def test_timer_whose_owner_an_earlier_one_of_the_same_tick_closed_does_not_run() -> None:
+    """Guards against acting for a request that has ended within the tick."""
+    coordinator = start()
+    attempt, _ = take(coordinator)
+    request = coordinator._requests.get("j")
+    assert request is not None
+    ran: list[str] = []
+
+    def answer(now: float, _: Effects) -> None:
+        coordinator.report(now, attempt, AttemptOutcome.OK)
+        ran.append("answer")
+
+    coordinator._timers.schedule(100.2, answer)
+    coordinator._timers.schedule(100.2, lambda _now, _effects: ran.append("dropped"), request)
+    coordinator.tick(100.2)
+    assert ran == ["answer"] and request.closed
