balancing: give up an attempt early only where it can be sent, and a retry can follow

What callers saw: without hedging (`second-copies` off, the default) and with fast upstreams, a sidecar served some 130 requests and from then on refused every repeatable one after seconds of waiting, for good, though its upstreams were idle. Cause: without hedging an attempt gets 3 times the usual latency. Below a third of a millisecond that is under 1 ms, which the header cannot state, so that nothing is sent (attempt_not_sent), nothing is learned, and the time stays as it is. The same trap without fast upstreams: a fleet that becomes 3 times as slow is given up early for ever, because only answers teach a latency. Ruled out: the state file (a process that never restarts shows it), the pool (no connection fails), the shedding (not reached). Change: AttemptTimeouts. An attempt is given up early only if an attempt and a retry token are left, so that the last one runs to the objective and teaches; and never before 50 ms plus twice the lag of the event loop: what a connection, a turn of the loop and a header in whole milliseconds take. RETRY_PRICE moves beside the budget that is charged.

--- a/indigokeel/balancing/attempt_dispatcher.py
+++ b/indigokeel/balancing/attempt_dispatcher.py
@@ -7,13 +7,11 @@
 from indigokeel.balancing.events import AttemptOutcome
 from indigokeel.balancing.open_requests import OpenRequests
 from indigokeel.balancing.request_state import AttemptState, RequestState
-from indigokeel.balancing.retry_policy import RULE_MARGIN_S, RetryBudget
+from indigokeel.balancing.retry_policy import RETRY_PRICE, RULE_MARGIN_S, RetryBudget
 from indigokeel.balancing.settings import Settings
 from indigokeel.balancing.upstream_registry import UpstreamRegistry
 from indigokeel.balancing.upstream_selection import UpstreamSelector
 
-RETRY_PRICE = 1.0
-
 
 class AttemptDispatcher:
     """Dispatches first attempts, retries and hedged attempts."""
--- /dev/null
+++ b/indigokeel/balancing/attempt_timeouts.py
@@ -0,0 +1,63 @@
+"""How long an attempt may take, and from when on it counts as overdue.
+
+No time in here follows from a learned latency alone: an attempt that was given up too early to be answered
+would teach no longer latency, and the next one would be given up as early.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+from indigokeel.balancing import retry_policy
+from indigokeel.balancing.request_state import RequestState
+from indigokeel.balancing.retry_policy import RETRY_PRICE, RULE_MARGIN_S, RetryBudget
+from indigokeel.balancing.settings import Settings
+
+MIN_TIME_S = 0.05  # for a connection, a turn of the event loop and a header in whole milliseconds
+LAGS_PER_ATTEMPT = 2.0  # times the lag of the event loop: until it is written, and until its answer is read
+
+
+class AttemptTimes(NamedTuple):
+    """The times of one attempt, in seconds from when it is sent."""
+
+    timeout_s: float  # 0: until the client gives up
+    overdue_s: float  # infinite: nothing is done when it is overdue
+
+
+class AttemptTimeouts:
+    """Decides the times of each attempt."""
+
+    def __init__(self, settings: Settings, budget: RetryBudget, loop_lag_s: Callable[[], float]) -> None:
+        """``loop_lag_s`` returns the present lag of the event loop."""
+        self._budget = budget
+        self._loop_lag_s = loop_lag_s
+        self.apply_settings(settings)
+
+    def apply_settings(self, settings: Settings) -> None:
+        """Use these settings from now on."""
+        self._hedges = settings.limits.hedging
+
+    def times(self, now: float, request: RequestState, expected_s: float) -> AttemptTimes:
+        """Return the times of an attempt that is sent now and expected to take ``expected_s``."""
+        useful_s = request.latest_useful_at - now
+        timeout_s = 0.0
+        if request.latest_useful_at < request.deadline:
+            # A response after the objective has no value; ending the attempt frees the upstream for
+            # requests that can still meet theirs.
+            timeout_s = max(useful_s, RULE_MARGIN_S)
+        overdue_s = retry_policy.overdue_after_s(now, request, expected_s)
+        if not self._hedges:
+            retry_after_s = max(overdue_s, MIN_TIME_S + LAGS_PER_ATTEMPT * self._loop_lag_s())
+            if retry_after_s < useful_s and self._may_retry(now + retry_after_s, request):
+                return AttemptTimes(retry_after_s, math.inf)
+        return AttemptTimes(timeout_s, overdue_s if overdue_s < useful_s else math.inf)
+
+    def _may_retry(self, at: float, request: RequestState) -> bool:
+        """Return whether another attempt may follow one that is given up at clock time ``at``."""
+        return (
+            request.has_attempts_left()
+            and retry_policy.may_repeat(at, request)
+            and self._budget.can_retry(RETRY_PRICE)
+        )
--- a/indigokeel/balancing/balancer.py
+++ b/indigokeel/balancing/balancer.py
@@ -15,6 +15,7 @@
 from indigokeel.balancing.attempt_dispatcher import AttemptDispatcher
 from indigokeel.balancing.attempt_results import AttemptResults
 from indigokeel.balancing.attempt_sender import AttemptSender
+from indigokeel.balancing.attempt_timeouts import AttemptTimeouts
 from indigokeel.balancing.capacity_estimates import CapacityEstimates
 from indigokeel.balancing.early_admission import EarlyAdmissionControl
 from indigokeel.balancing.endpoint_refresh import EndpointRefresh
@@ -90,11 +91,12 @@
         self._requests = OpenRequests(settings, self._timers, self._sink)
         budget = RetryBudget()
         self._results = AttemptResults(ejection, self._traffic, budget)
-        self._sender = AttemptSender(
-            settings, self._traffic, self._idle_connections, self._timers, self._sink
+        self._timeouts = AttemptTimeouts(settings, budget, self._early_admission.loop_lag_s)
+        sender = AttemptSender(
+            self._timeouts, self._traffic, self._idle_connections, self._timers, self._sink
         )
         self._dispatcher = AttemptDispatcher(
-            settings, self._registry, self._requests, self._selector, self._sender, budget
+            settings, self._registry, self._requests, self._selector, sender, budget
         )
         self._handlers: dict[type, Callable[..., None]] = {
             MembershipUpdate: self._on_membership_update,
@@ -134,7 +136,7 @@
         self._health_checks.apply_settings(settings)
         self._idle_connections.apply_settings(settings)
         self._requests.apply_settings(settings)
-        self._sender.apply_settings(settings)
+        self._timeouts.apply_settings(settings)
         self._dispatcher.apply_settings(settings)
 
     def learned_figures(self) -> LearnedFigures:
--- a/indigokeel/balancing/early_admission.py
+++ b/indigokeel/balancing/early_admission.py
@@ -36,6 +36,10 @@
         self._max_lag_s = MAX_LAG_RATIO * min(cls.latency_objective for cls in settings.classes)
         self._retry_after_s = retry_after_s(settings.limits)
 
+    def loop_lag_s(self) -> float:
+        """Return the smoothed lag of the event loop."""
+        return self._smoothed_lag_s
+
     def is_overloaded(self) -> bool:
         """Return whether any request may be rejected early."""
         return self._admitted_ratio < 1.0 or self._smoothed_lag_s > self._max_lag_s
--- a/indigokeel/balancing/retry_policy.py
+++ b/indigokeel/balancing/retry_policy.py
@@ -9,6 +9,7 @@
 RULE_MARGIN_S = 0.05  # kept clear of every time limit that a rule states
 RETRIES_PER_TIMELY_ANSWER = 0.2
 HEDGES_PER_TIMELY_ANSWER = 0.03
+RETRY_PRICE = 1.0  # tokens
 MAX_TOKENS = 3.0  # of either kind, saved for a burst
 INITIAL_HEDGE_TOKENS = 0.5  # less than one: hedging has to be earned after a start
 OVERDUE_LATENCY_RATIO = 3.0  # of the expected latency, after which an attempt is overdue
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -453,3 +453,18 @@
 
         until(refused)
         until(lambda: program.ask(request())[0] == 200)
+
+
+def test_fast_upstreams_are_sent_requests_for_good_without_hedging(tmp_path: Path) -> None:
+    """Guards against a learned time for an attempt that is too short for it to be sent."""
+    limits = {**SETTINGS["limits"], "second-copies": False}
+    classes = [{"name": "view", "objective-s": 5.0, "deadline-s": 5.0, "effect": "safe"}]
+    settings = {**SETTINGS, "classes": classes, "limits": limits}
+    with (
+        running(tmp_path, echo, echo, settings=settings) as (program, _, _discovery),
+        program.connect() as conn,
+        conn.makefile("rb") as file,
+    ):
+        for _ in range(400):
+            conn.sendall(request())
+            assert read_answer(file)[0] == 200
