requests: say why an accepted request was not served, in a counter and in the log

Change: each FinalAnswer that is no success carries its cause (latency objective, deadline, broken connection, upstream's error or rejection, no connection, not sent, no upstream, overload, shutdown, internal error), class, last upstream, whether an attempt may have run, and its age; the executor counts it as requests_failed_CAUSE or requests_rejected_CAUSE and logs one line of a kind every 30 s at most, with the lag of the event loop (of the newest sample, or of one that is overdue).

--- a/indigokeel/process/effect_executor.py
+++ b/indigokeel/process/effect_executor.py
@@ -14,8 +14,10 @@
 from indigokeel.net.upstream.client import UpstreamClient
 from indigokeel.process.deadline_timer import DeadlineTimer
 from indigokeel.process.supervision import Supervisor
+from indigokeel.process.unserved_log import UnservedLog
 from indigokeel.requests.coordinator import RequestCoordinator
 from indigokeel.requests.effects import Attempt, Effects, FinalAnswer, FinalStatus
+from indigokeel.requests.unserved import Unserved, UnservedCause
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,7 @@
         self._supervisor = supervisor
         self._counters = counters
         self._waiting: dict[str, _WaitingClient] = {}  # by request id
+        self._unserved_log = UnservedLog(counters)
         self.timer = DeadlineTimer(coordinator, self._run_due, supervisor)
 
     def expect(self, request_id: str, client: ClientConnection, outbound: OutboundRequest) -> None:
@@ -58,7 +61,8 @@
         """Give every open request its final answer: from the coordinator, or, should that fail, a failure."""
         self._supervisor.run_guarded("the last answers", self._run_due)
         for request_id in list(self._waiting):
-            self._answer(FinalAnswer(request_id, FinalStatus.FAILED), None)
+            why = Unserved(UnservedCause.INTERNAL_ERROR, "unknown", may_have_run=True)
+            self._answer(FinalAnswer(request_id, FinalStatus.FAILED, unserved=why), None)
 
     def _run_due(self) -> None:
         self.execute(self._coordinator.tick(time.monotonic()))
@@ -106,6 +110,10 @@
     def _answer(self, answer: FinalAnswer, response: UpstreamResponse | None) -> None:
         """Pass a final answer to its client; the connection is closed if it cannot be written."""
         self._counters.add("requests_" + answer.status.value)
+        if answer.unserved is not None:
+            now = time.monotonic()
+            lag_s = self._coordinator.loop_lag_s(now)
+            self._unserved_log.record(now, answer.status, answer.unserved, lag_s)
         waiting = self._waiting.pop(answer.request_id, None)
         if waiting is None:
             return
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -62,7 +62,9 @@
         self._executor.expect(request.id, client, outbound)
         self._clients.request_received(client)
         if times is not None:  # it is answered while this process still runs
-            request.budget = min(request.budget, max(times.answer_by - arrived, _MIN_BUDGET_S))
+            time_left_s = max(times.answer_by - arrived, _MIN_BUDGET_S)
+            request.limited_by_shutdown = time_left_s < request.budget
+            request.budget = min(request.budget, time_left_s)
         self._executor.execute(self._coordinator.pick(arrived, request))
         if times is not None and request.long:  # its time starts with its last byte, and ends no later
             self._coordinator.limit_deadlines(times.answer_by)
--- a/indigokeel/requests/balancer_driver.py
+++ b/indigokeel/requests/balancer_driver.py
@@ -32,6 +32,7 @@
 from indigokeel.requests.open_request import OpenRequest
 from indigokeel.requests.open_requests import OpenRequests
 from indigokeel.requests.timer_queue import TimerQueue
+from indigokeel.requests.unserved import Unserved, UnservedCause, explain
 
 # Bound on the events that one call may cause in the balancer, so that no loop of events runs for ever.
 _MAX_EVENTS = 1000
@@ -66,18 +67,24 @@
             try:
                 actions = self._balancer.handle(now, events[number])
             except Exception as error:  # a fault in a decision costs its request, never the process
-                self._record_fault(error, effects, request)
+                self._record_fault(now, error, effects, request)
                 continue
             for action in actions:
                 self._apply(now, action, effects, events)
         if request is not None:
             self._requests.close_if_done(request)
 
-    def _record_fault(self, error: Exception, effects: Effects, request: OpenRequest | None) -> None:
+    def _record_fault(
+        self, now: float, error: Exception, effects: Effects, request: OpenRequest | None
+    ) -> None:
         self.faults += 1
         effects.notes.append(f"fault in the balancer: {type(error).__name__}: {error}")
         if request is not None and not request.answered and request.attempts_in_flight == 0:
-            self._requests.answer(request, FinalAnswer(request.id, FinalStatus.FAILED), effects)
+            why = self._explain(now, request, UnservedCause.INTERNAL_ERROR)
+            self._requests.answer(request, FinalAnswer(request.id, FinalStatus.FAILED, unserved=why), effects)
+
+    def _explain(self, now: float, request: OpenRequest, cause: UnservedCause | None = None) -> Unserved:
+        return explain(now, request, self._directory.has_upstreams(), cause)
 
     def expire_at_deadline(self, request: OpenRequest) -> None:
         """Schedule the end of a request at its ``respond_by``."""
@@ -88,7 +95,7 @@
         for number in range(len(request.attempts)):
             self.time_out_attempt(now, request, number, effects)
         if not request.answered:
-            self._requests.answer_unserved(request, effects)
+            self._requests.answer_unserved(request, self._explain(now, request), effects)
             self.deliver(now, ClientDisconnected(request.id), effects, request)
         self._requests.close_if_done(request)
 
@@ -112,9 +119,7 @@
         load: LoadReport | None = None,
     ) -> None:
         """Record the outcome of an attempt that has none, and let the balancer decide what follows."""
-        attempt = request.attempts[number]
-        attempt.ended = True
-        attempt.may_have_run = not outcome.never_ran
+        attempt = request.end_attempt(number, outcome)
         request.attempts_in_flight -= 1
         if outcome is AttemptOutcome.OK and not request.answered:
             answer = FinalAnswer(request.id, FinalStatus.SERVED, attempt=number)
@@ -137,9 +142,10 @@
         elif isinstance(action, CloseIdleConnections):
             effects.close_idle.append(action.upstream)
         elif isinstance(action, RejectRequest):
-            self._answer(FinalAnswer(action.id, FinalStatus.REJECTED, action.retry_after_s), effects)
+            answer = FinalAnswer(action.id, FinalStatus.REJECTED, action.retry_after_s)
+            self._answer_unserved(now, answer, effects)
         elif isinstance(action, FailRequest):
-            self._answer(FinalAnswer(action.id, FinalStatus.FAILED), effects)
+            self._answer_unserved(now, FinalAnswer(action.id, FinalStatus.FAILED), effects)
         elif isinstance(action, CancelAttempt):
             self._cancel_attempt(now, action, effects, events)
         else:
@@ -160,9 +166,10 @@
     def _fire_timer(self, token: int, now: float, effects: Effects) -> None:
         self.deliver(now, TimerFired(token), effects)
 
-    def _answer(self, answer: FinalAnswer, effects: Effects) -> None:
+    def _answer_unserved(self, now: float, answer: FinalAnswer, effects: Effects) -> None:
         request = self._requests.get(answer.request_id)
         if request is not None and not request.answered:
+            answer.unserved = self._explain(now, request)
             self._requests.answer(request, answer, effects)
             self._requests.close_if_done(request)
 
@@ -188,11 +195,10 @@
         if request is None:
             return
         number = len(request.attempts)
-        attempt = request.add_attempt(action.upstream, now)
+        request.add_attempt(action.upstream, now)
         if not request.may_send(now, number) or self._directory.address(action.upstream) is None:
-            attempt.ended = True
-            attempt.may_have_run = False
             outcome = AttemptOutcome.NOT_SENT
+            request.end_attempt(number, outcome)
             events.append(AttemptEnded(action.id, action.upstream, number, outcome, 0.0, request.answered))
             return
         request.attempts_in_flight += 1
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -13,6 +13,7 @@
 
 from indigokeel.balancing.balancer import Balancer
 from indigokeel.balancing.events import (
+    LAG_SAMPLE_INTERVAL_S,
     AttemptOutcome,
     ClientDisconnected,
     HealthCheckEnded,
@@ -46,6 +47,8 @@
         self._requests = OpenRequests(settings, self._timers)
         self._driver = BalancerDriver(self._balancer, self._requests, self._directory, self._timers)
         self._timer_faults = 0
+        self._lag_s = 0.0
+        self._lag_sampled_at = math.inf
         self.ticks_cut_short = 0  # calls of ``tick`` that left a due timer for the next call
 
     @property
@@ -134,6 +137,7 @@
         for request in self._requests.unanswered_requests():
             if request.respond_by > respond_by:
                 request.respond_by = respond_by
+                request.limited_by_shutdown = True
                 self._driver.expire_at_deadline(request)
 
     def may_begin(self, now: float, attempt: Attempt) -> bool:
@@ -178,10 +182,16 @@
 
     def sample_lag(self, now: float, seconds: float) -> Effects:
         """Take a sample of how late this process runs; called at a steady interval."""
+        self._lag_s = seconds
+        self._lag_sampled_at = now
         effects = Effects()
         self._driver.deliver(now, LagSampled(seconds), effects)
         return effects
 
+    def loop_lag_s(self, now: float) -> float:
+        """Return how late this process runs: by the newest sample, or by one that is overdue."""
+        return max(self._lag_s, now - self._lag_sampled_at - LAG_SAMPLE_INTERVAL_S)
+
     def tick(self, now: float) -> Effects:
         """Run the timers that are due; one that they set for this instant is left for the next call."""
         effects = Effects()
--- a/indigokeel/requests/effects.py
+++ b/indigokeel/requests/effects.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from indigokeel.requests.unserved import Unserved
+
 
 class FinalStatus(Enum):
     """The final answer to a request."""
@@ -30,6 +32,7 @@
     write: bool = False
     waited: float = 0.0  # seconds of its client's time spent behind other requests of the connection
     long: bool = False  # its body is streamed: its time starts with ``request_body_received``
+    limited_by_shutdown: bool = False  # its budget is shorter than its client's because the process ends
 
 
 @dataclass(slots=True)
@@ -50,6 +53,7 @@
     status: FinalStatus
     retry_after_s: float = 0.0
     attempt: int = -1
+    unserved: Unserved | None = field(default=None, compare=False)  # why it is no success
 
 
 @dataclass(slots=True)
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import dataclass, field
 
+from indigokeel.balancing.events import AttemptOutcome
+
 _MAX_UNSENT_ATTEMPTS = 5  # beyond the limit on attempts: an attempt of which nothing was sent does not count
 
 
@@ -18,6 +20,7 @@
     sent: bool = False  # its first byte was about to be written
     ended: bool = False
     may_have_run: bool = True  # until its outcome proves otherwise
+    outcome: AttemptOutcome | None = None
 
 
 @dataclass(slots=True)
@@ -25,6 +28,8 @@
     """A request from its arrival until it is answered and all its attempts have ended."""
 
     id: str
+    class_name: str
+    received_at: float  # clock time
     respond_by: float  # clock time of the final answer at the latest; infinite while a long body is received
     idempotency_window: float  # seconds after the first attempt in which a retry may begin
     max_attempts: int
@@ -33,6 +38,7 @@
     delayed_by_client: bool  # it waited behind other requests of its client, so no upstream is late with it
     attempts: list[OpenAttempt] = field(default_factory=list)
     attempts_in_flight: int = 0
+    limited_by_shutdown: bool = False  # ``respond_by`` was brought forward because the process ends
     answered: bool = False
     closed: bool = False
     pending_timers: int = 0  # see ``TimerQueue``
@@ -60,6 +66,14 @@
         """Return True unless it is proved that no attempt had an effect."""
         return any(attempt.may_have_run for attempt in self.attempts)
 
+    def end_attempt(self, number: int, outcome: AttemptOutcome) -> OpenAttempt:
+        """Record the one outcome of an attempt."""
+        attempt = self.attempts[number]
+        attempt.ended = True
+        attempt.outcome = outcome
+        attempt.may_have_run = not outcome.never_ran
+        return attempt
+
     def restart_clock(self, now: float) -> None:
         """Start the time limit now, when the last byte of a long body was received."""
         self.respond_by = now + self.time_limit
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -8,6 +8,7 @@
 from indigokeel.requests.effects import Effects, FinalAnswer, FinalStatus, Request
 from indigokeel.requests.open_request import OpenRequest
 from indigokeel.requests.timer_queue import TimerQueue
+from indigokeel.requests.unserved import Unserved, UnservedCause
 
 # Seconds before the client's own limit at which the final answer is given, so that it can be written and can
 # arrive. The longer margin applies where it does not cost a response within the latency objective.
@@ -51,7 +52,8 @@
 
     def reject_for_capacity(self, request: Request) -> FinalAnswer:
         """Return the answer to a request that arrives while this is full."""
-        return FinalAnswer(request.id, FinalStatus.REJECTED, self._limits.max_retry_after)
+        why = Unserved(UnservedCause.OVERLOAD, request.class_name)
+        return FinalAnswer(request.id, FinalStatus.REJECTED, self._limits.max_retry_after, unserved=why)
 
     def get(self, request_id: str) -> OpenRequest | None:
         """Return the open request of this id, or None."""
@@ -68,11 +70,14 @@
         time_limit = self._time_limit(request)
         opened = OpenRequest(
             id=request.id,
+            class_name=request.class_name,
+            received_at=now,
             respond_by=math.inf if request.long else now + time_limit,
             idempotency_window=self._idempotency_windows.get(request.class_name, math.inf),
             max_attempts=self._limits.max_attempts,
             time_limit=time_limit,
             long=request.long,
+            limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.waited > _MIN_DELAY_BY_CLIENT_S,
         )
         self._requests[request.id] = opened
@@ -98,13 +103,13 @@
         self.mark_answered(request)
         effects.answers.append(answer)
 
-    def answer_unserved(self, request: OpenRequest, effects: Effects) -> None:
+    def answer_unserved(self, request: OpenRequest, why: Unserved, effects: Effects) -> None:
         """Give the final answer of a request that was not served.
 
         It is a rejection, after which the client may retry, only where no attempt can have run.
         """
         status = FinalStatus.FAILED if request.may_have_run() else FinalStatus.REJECTED
-        self.answer(request, FinalAnswer(request.id, status), effects)
+        self.answer(request, FinalAnswer(request.id, status, unserved=why), effects)
 
     def close_if_done(self, request: OpenRequest) -> None:
         """Forget a request that is answered and has no attempt in flight."""
--- /dev/null
+++ b/indigokeel/requests/unserved.py
@@ -0,0 +1,71 @@
+"""Why a request was not served: what operators are told of an answer that is no success."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.requests.open_request import OpenRequest
+
+
+class UnservedCause(Enum):
+    """What ended a request without a response of an upstream. The value names its counter."""
+
+    __hash__ = object.__hash__
+
+    LATENCY_OBJECTIVE = "latency_objective"  # the attempt was given up before the deadline
+    DEADLINE = "deadline"
+    BROKEN_CONNECTION = "broken_connection"
+    UPSTREAM_ERROR = "upstream_error"
+    UPSTREAM_REJECTION = "upstream_rejection"
+    NO_CONNECTION = "no_connection"
+    NOT_SENT = "not_sent"  # by a check right before the first byte, or a local error
+    NO_UPSTREAM = "no_upstream"
+    OVERLOAD = "overload"  # rejected without an attempt
+    SHUTDOWN = "shutdown"
+    INTERNAL_ERROR = "internal_error"
+
+
+_CAUSES = {
+    AttemptOutcome.ERROR: UnservedCause.UPSTREAM_ERROR,
+    AttemptOutcome.REJECTED: UnservedCause.UPSTREAM_REJECTION,
+    AttemptOutcome.TIMED_OUT: UnservedCause.LATENCY_OBJECTIVE,
+    AttemptOutcome.NO_CONNECTION: UnservedCause.NO_CONNECTION,
+    AttemptOutcome.BROKEN: UnservedCause.BROKEN_CONNECTION,
+    AttemptOutcome.NOT_SENT: UnservedCause.NOT_SENT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Unserved:
+    """An answer that is no success: its cause, and what became of the request."""
+
+    cause: UnservedCause
+    class_name: str
+    upstream: str = ""  # of the last attempt
+    may_have_run: bool = False
+    elapsed_s: float = 0.0  # since the request was received
+
+
+def explain(
+    now: float, request: OpenRequest, has_upstreams: bool, cause: UnservedCause | None = None
+) -> Unserved:
+    """Return why a request is answered now; ``cause`` is known already or follows from its last attempt."""
+    last = request.attempts[-1] if request.attempts else None
+    return Unserved(
+        cause or _cause(now, request, has_upstreams),
+        request.class_name,
+        last.upstream if last is not None else "",
+        request.may_have_run(),
+        max(now - request.received_at, 0.0),
+    )
+
+
+def _cause(now: float, request: OpenRequest, has_upstreams: bool) -> UnservedCause:
+    if now >= request.respond_by:
+        return UnservedCause.SHUTDOWN if request.limited_by_shutdown else UnservedCause.DEADLINE
+    outcomes = [attempt.outcome for attempt in request.attempts if attempt.outcome in _CAUSES]
+    if outcomes and outcomes[-1] is not None:
+        return _CAUSES[outcomes[-1]]
+    return UnservedCause.OVERLOAD if has_upstreams else UnservedCause.NO_UPSTREAM
