process: log the stack once when a step of the event loop uses up a second of processor time

Change: StandstillWatch sets ITIMER_PROF with each housekeeping check (5 calls a second) and reports in Python, by the log that never blocks. Weighed: faulthandler's thread (a thread started with each rearming, a write that blocks on a full pipe) and a timer of real time (would fire while the host runs others). Not seen: a step that never returns to the interpreter; on-call has it.

--- a/indigokeel/process/sidecar.py
+++ b/indigokeel/process/sidecar.py
@@ -30,6 +30,7 @@
 from indigokeel.process.reload import ConfigReloader, ReloadTargets
 from indigokeel.process.request_service import RequestService
 from indigokeel.process.shutdown import Shutdown, ShutdownTimes
+from indigokeel.process.standstill import StandstillWatch
 from indigokeel.process.state_persistence import StatePersistence
 from indigokeel.process.supervision import Supervisor
 from indigokeel.requests.coordinator import RequestCoordinator
@@ -217,7 +218,11 @@
             time.monotonic,
         )
         housekeeping = Housekeeping(
-            self._clients, self._upstream_client, self._leak_detector, self._supervisor
+            self._clients,
+            self._upstream_client,
+            self._leak_detector,
+            StandstillWatch(self._counters),
+            self._supervisor,
         )
         self._supervisor.keep_running("housekeeping", housekeeping.run)
 
--- a/tests/faulty_program.py
+++ b/tests/faulty_program.py
@@ -4,7 +4,8 @@
 exists. ``FAULTS`` holds JSON: for the name of a call (``open``,
 ``write``, ``fsync``, ``fsync-folder``, ``rename``, ``unlink``, ``listdir``) the error's name and how many
 calls fail, in the folder ``TMPDIR`` alone; ``HANG`` in place of an error holds the call up. Once the file
-``FAULTS_OFF`` exists, none fails.
+``FAULTS_OFF`` exists, none fails. Once the file ``FAULT_SPIN_WHEN`` exists, a step of the event loop uses up
+``FAULT_SPIN_S`` seconds of processor time, once.
 """
 
 from __future__ import annotations
@@ -83,11 +84,29 @@
         return bool(self._off) and os.path.exists(self._off)
 
 
+def _spin_once(when: str) -> None:
+    from indigokeel.requests.coordinator import RequestCoordinator
+
+    sample_lag = RequestCoordinator.sample_lag
+    seconds = [float(os.environ["FAULT_SPIN_S"])]
+
+    def spinning_step(self: Any, now: float, lag: float) -> Any:
+        if seconds and os.path.exists(when):
+            until = time.process_time() + seconds.pop()
+            while time.process_time() < until:
+                pass
+        return sample_lag(self, now, lag)
+
+    RequestCoordinator.sample_lag = spinning_step  # type: ignore[assignment]
+
+
 def main() -> int:
     if _STEP_S:
         _step_wall_clock(os.environ.get("FAULT_WALL_STEP_WHEN", ""))
     if faults := os.environ.get("FAULTS"):
         Faults(json.loads(faults), os.environ["TMPDIR"], os.environ.get("FAULTS_OFF", "")).install()
+    if spin := os.environ.get("FAULT_SPIN_WHEN"):
+        _spin_once(spin)
     from indigokeel.__main__ import main as program
 
     return program()
