process: a signal in the last moments of a shutdown leaves the exit status at 0

What operators saw: a platform that sends SIGTERM in series got -15 now and then in place of 0 (-2 for SIGINT, -10 for SIGUSR1). Cause: the loop removes its signal handlers as it is closed; until the interpreter has ended, the default action of a signal ends the process. Only SIGHUP was blocked by then. All requests had been answered. Change: all signals that the process handles are blocked once it has served, and unblocked where their handlers are installed. Seen to fail before: test_signals_in_series_up_to_the_end_leave_the_exit_status (SIGTERM, SIGINT, SIGUSR1). Measured: it passes, with test_program, test_operation and test_endings.

--- a/indigokeel/__main__.py
+++ b/indigokeel/__main__.py
@@ -5,13 +5,14 @@
 import gc
 import os
 import signal
+import socket
 import sys
 
 import uvloop
 
-from indigokeel.config import ConfigError, load_config
+from indigokeel.config import Config, ConfigError, load_config
 from indigokeel.net import http
-from indigokeel.process.sidecar import serve
+from indigokeel.process.sidecar import HANDLED_SIGNALS, serve
 
 
 def main() -> int:
@@ -32,12 +33,18 @@
         # Bound before anything else is opened, which could get the number of a descriptor that was not
         # inherited.
         listener = http.bind(config.listen, config.listen_fd)
-        uvloop.run(serve(config, listener))
+        uvloop.run(_serve_until_end(config, listener))
     except OSError as error:
         print(f"indigokeel: cannot serve: {error}", file=sys.stderr)
         return 1
     return 0
 
 
+async def _serve_until_end(config: Config, listener: socket.socket) -> None:
+    await serve(config, listener)
+    # The loop removes its handlers as it is closed, and without them a signal would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/indigokeel/process/sidecar.py
+++ b/indigokeel/process/sidecar.py
@@ -40,7 +40,7 @@
 _PARTIAL_REQUEST_S = 0.2  # after that, in which a request that has begun may still be completed
 _LAST_ACCEPTS_S = 0.01  # for the loop to accept what the system has queued before the listener is closed
 _ADMIN_BIND_RETRY_S = 0.5
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Sidecar:
@@ -164,9 +164,9 @@
     @staticmethod
     def _receive_signals(loop: asyncio.AbstractEventLoop) -> asyncio.Queue[signal.Signals]:
         signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
-        for number in _SIGNALS:
+        for number in HANDLED_SIGNALS:
             loop.add_signal_handler(number, signals.put_nowait, number)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         return signals
 
     async def _restore_state(self) -> None:
@@ -246,8 +246,6 @@
                 self._report_counters()
             else:
                 self._supervisor.run_guarded("reload", self._reloader.reload)
-        # Blocked for good, because the loop removes its handlers as it is closed.
-        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
     # --- end ------------------------------------------------------------------------------------------
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -468,3 +468,17 @@
         for _ in range(400):
             conn.sendall(request())
             assert read_answer(file)[0] == 200
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP])
+def test_signals_in_series_up_to_the_end_leave_the_exit_status(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """Guards against a signal that meets the process after its handlers are gone, and kills it."""
+    for _ in range(3):
+        with running(tmp_path, echo) as (program, _, _discovery):
+            assert program.ask(request())[0] == 200
+            program.process.send_signal(signal.SIGTERM)
+            while program.process.poll() is None:
+                program.process.send_signal(number)
+            assert program.process.returncode == 0
