net, requests: a load report is a LoadReport from its decoder on; drop two unused request fields

Cause: reports passed from net/ to the coordinator as a mapping that was unpacked there; Request.repeat and Request.write were decoded and read by one test alone. What the wire accepts is unchanged.

--- a/indigokeel/net/downstream/request_decoder.py
+++ b/indigokeel/net/downstream/request_decoder.py
@@ -80,8 +80,6 @@
         tenant=headers.get(b"tenant", b"").decode("latin-1"),
         key=path[-1] if len(path) > 2 else "",
         hint=_read_work_hint(headers, info),
-        repeat=headers.get(b"client-retry") == b"1",
-        write=info.get("mutates") == "1",
     )
     has_body = b"content-length" in headers or b"transfer-encoding" in headers
     unsafe = class_settings.idempotency is Idempotency.UNSAFE
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -17,6 +17,7 @@
 from functools import lru_cache
 from http import HTTPStatus
 
+from indigokeel.balancing.events import LoadReport
 from indigokeel.config.load_report_fields import LOAD_REPORT_FIELDS
 
 MAX_HEAD = 16 * 1024  # bytes of a message's head
@@ -111,7 +112,7 @@
 
 
 @lru_cache(_LOAD_CACHE_SIZE)
-def load_figures(text: str | None) -> dict[str, float] | None:
+def parse_load_report(text: str | None) -> LoadReport | None:
     """Parse a load report, ``name=value,name=value``; latency becomes seconds.
 
     Negative, invalid and excessive figures are left out. Return None if nothing is left. Results are cached,
@@ -131,7 +132,7 @@
             continue
         if math.isfinite(figure) and 0.0 <= figure <= _MAX_LOAD.get(field, _MAX_OTHER_LOAD):
             figures[field] = figure / _MS_PER_S if field == "latency" else figure
-    return figures or None
+    return LoadReport(**figures) if figures else None
 
 
 def bind(address: tuple[str, int], inherited: int = -1) -> socket.socket:
--- a/indigokeel/net/messages.py
+++ b/indigokeel/net/messages.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.balancing.events import AttemptOutcome, LoadReport
 from indigokeel.net import http
 from indigokeel.net.streams import RequestStream, ResponseStream
 
@@ -32,6 +32,6 @@
     """The result of an attempt."""
 
     outcome: AttemptOutcome
-    load: dict[str, float] | None = None  # as reported by the upstream
+    load: LoadReport | None = None  # as reported by the upstream
     body: http.Body | None = None
     stream: ResponseStream | None = None  # in place of ``body``, if that is long
--- a/indigokeel/net/upstream/health_check.py
+++ b/indigokeel/net/upstream/health_check.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.balancing.events import AttemptOutcome, LoadReport
 from indigokeel.net import http
 from indigokeel.net.errors import LocalError
 from indigokeel.net.messages import UpstreamResponse
@@ -20,14 +20,12 @@
 _TIMEOUT_S = 1.0  # for the connect and the exchange
 _LOAD_PREFIX = "Server-Load:"
 
-Load = dict[str, float]
-
 
 class HealthCheckResult(NamedTuple):
     """The outcome of a health check, and the load that the upstream reported."""
 
     outcome: AttemptOutcome
-    load: Load | None = None
+    load: LoadReport | None = None
 
 
 class _HealthCheckCall:
@@ -152,4 +150,4 @@
         # The only other answer to a health check is 503, which is no fault of the upstream.
         return HealthCheckResult(AttemptOutcome.REJECTED, response.load)
     text = b"".join(response.body or ()).decode("latin-1").removeprefix(_LOAD_PREFIX)
-    return HealthCheckResult(AttemptOutcome.OK, response.load or http.load_figures(text))
+    return HealthCheckResult(AttemptOutcome.OK, response.load or http.parse_load_report(text))
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -127,7 +127,7 @@
     def response(self) -> UpstreamResponse:
         """Return the result of the attempt."""
         report = self.headers.get(b"server-load")
-        load = http.load_figures(report.decode("latin-1")) if report else None
+        load = http.parse_load_report(report.decode("latin-1")) if report else None
         if self.status == 200:
             return UpstreamResponse(AttemptOutcome.OK, load, self.body)
         # Without this header the upstream may have started the request.
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -156,14 +156,13 @@
         return True
 
     def report(
-        self, now: float, attempt: Attempt, outcome: AttemptOutcome, load: dict[str, float] | None = None
+        self, now: float, attempt: Attempt, outcome: AttemptOutcome, load: LoadReport | None = None
     ) -> Effects:
         """Take the outcome of an attempt; one that has an outcome already is ignored."""
         effects = Effects()
         request = self._requests.get(attempt.request_id)
         if request is not None and request.open_attempt(attempt.number) is not None:
-            report = LoadReport(**load) if load else None
-            self._driver.end_attempt(now, request, attempt.number, outcome, effects, report)
+            self._driver.end_attempt(now, request, attempt.number, outcome, effects, load)
         return effects
 
     def health_check_ended(
@@ -172,12 +171,11 @@
         upstream: str,
         outcome: AttemptOutcome,
         elapsed: float,
-        load: dict[str, float] | None = None,
+        load: LoadReport | None = None,
     ) -> Effects:
         """Take the outcome of a health check, which took ``elapsed`` seconds."""
         effects = Effects()
-        report = LoadReport(**load) if load else None
-        self._driver.deliver(now, HealthCheckEnded(upstream, outcome, elapsed, report), effects)
+        self._driver.deliver(now, HealthCheckEnded(upstream, outcome, elapsed, load), effects)
         return effects
 
     def sample_lag(self, now: float, seconds: float) -> Effects:
--- a/indigokeel/requests/effects.py
+++ b/indigokeel/requests/effects.py
@@ -28,8 +28,6 @@
     tenant: str = ""
     key: str = ""
     hint: float = 0.0  # estimate of its work in seconds of a standard core; 0: none
-    repeat: bool = False
-    write: bool = False
     waited: float = 0.0  # seconds of its client's time spent behind other requests of the connection
     long: bool = False  # its body is streamed: its time starts with ``request_body_received``
     limited_by_shutdown: bool = False  # its budget is shorter than its client's because the process ends
