tests: the soak's judge lets a pipelined request wait for those ahead of it

Answers keep the order of requests. Change: such a request is due when those ahead of it are. A planted answer later than that is still caught.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -26,6 +26,7 @@
     sent_at: float
     limit_s: float
     answers: list[Answer] = field(default_factory=list)
+    due_behind: float = -math.inf  # when those ahead of it in the pipeline were due, which come first
     closed_at: float = math.inf  # its connection ended without an answer
     waited_in_vain: bool = False  # far longer than its limit, on an open connection
     behind_close: bool = False  # the answer before it in the pipeline said that the connection closes
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -60,7 +60,7 @@
             yield Breach("unexpected status", repr(request))
         elif answer.code == 503 and CLASSES[request.class_name] == "unsafe" and _executions(arrivals):
             yield Breach("rejected though it has run", f"{request!r} {arrivals!r}")
-        due_at = request.sent_at + request.limit_s + LOST_AFTER_S
+        due_at = max(request.sent_at + request.limit_s, request.due_behind) + LOST_AFTER_S
         unread_s = _overlap_s(history.outages, request.sent_at, answer.at)
         if answer.at > due_at + unread_s + _stalled_s(history, request.sent_at, answer.at):
             yield Breach("answer too late", repr(request))
--- a/tests/soak/peers.py
+++ b/tests/soak/peers.py
@@ -185,6 +185,8 @@
         leaves = self._random.random() < 0.05
         count = self._random.choice((1, 1, 1, 2, 4))
         sent = [await self._send() for _ in range(count)]
+        for ahead, behind in itertools.pairwise(sent):
+            behind.due_behind = max(ahead.due_behind, ahead.sent_at + ahead.limit_s)
         if leaves:
             await asyncio.sleep(self._random.choice((0.0, 0.002, 0.02)))
             self._leave(sent)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,7 @@
         history(served(), arrival(), notices=[Notice("s-0", 5.0, 10.0)]),
         history(served(), arrival(), notices=[Notice("s-0", 5.0)], starts=[ProcessStart("p1", 9.0, 9.5)]),
         history(served(answers=[Answer(12.2, 500)]), arrival(), stalls=[(11.0, 11.5)]),
+        history(served(answers=[Answer(12.2, 503)], due_behind=12.0)),
         history(served(answers=[Answer(13.2, 500)]), arrival(), outages=[(9.0, 11.5)]),
     ]
     assert [judge(each) for each in allowed] == [[]] * len(allowed)
@@ -74,6 +75,7 @@
             lambda: history(served("pay", answers=[Answer(10.1, 503)]), arrival()),
         ),
         ("answer too late", lambda: history(served(answers=[Answer(12.1, 500)]))),
+        ("answer too late", lambda: history(served(answers=[Answer(12.6, 500)], due_behind=12.0))),
         ("never answered", lambda: history(served(answers=[], waited_in_vain=True))),
         ("forwarded and not answered", lambda: history(served(answers=[], closed_at=10.2), arrival())),
         ("closed unread for no reason", lambda: history(served(answers=[], closed_at=10.2))),
