endpoints, net, process: one Address, one base of two Connection protocols, a cheaper record

Change: endpoints.endpoint_list.Address serves all; the dispatcher's Connection extends the exchange's FinishableConnection. Measured: tests/unit, test_connection_pool, test_endings 538 passed; lint, types and import contracts clean.

--- a/indigokeel/config/loader.py
+++ b/indigokeel/config/loader.py
@@ -15,9 +15,7 @@
 from indigokeel.config.errors import ConfigError, SettingsError
 from indigokeel.config.reload_check import find_regression
 from indigokeel.config.settings_decoder import decode_settings
-from indigokeel.endpoints.endpoint_list import EndpointList, parse_address, parse_endpoint_list
-
-Address = tuple[str, int]
+from indigokeel.endpoints.endpoint_list import Address, EndpointList, parse_address, parse_endpoint_list
 
 _DEFAULT_MAX_DESCRIPTORS = 1024
 _NO_ENDPOINTS: Mapping[str, Any] = {"index": 0, "snapshot": True, "endpoints": []}
--- a/indigokeel/endpoints/directory.py
+++ b/indigokeel/endpoints/directory.py
@@ -7,11 +7,9 @@
 
 from indigokeel.balancing.events import EndpointState, Member, MembershipUpdate, UpdateKind
 from indigokeel.endpoints.cordons import CordonRecord, Cordons
-from indigokeel.endpoints.endpoint_list import Endpoint, EndpointList
+from indigokeel.endpoints.endpoint_list import Address, Endpoint, EndpointList
 from indigokeel.endpoints.start_times import StartsSnapshot, StartTimes
 
-Address = tuple[str, int]
-
 _MAX_PRECONNECTED = 64  # upstreams; on a larger list a sidecar uses a subset and opens nothing ahead
 _MAX_FORMER = 1024  # names kept of upstreams that are no longer listed: operators may name them
 
--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -15,14 +15,14 @@
 from indigokeel.net.streams import RequestStream
 
 
-class Connection(Protocol):
+class FinishableConnection(Protocol):
     """The connection that the exchange takes place on."""
 
     def on_finished(self) -> None:
         """End the connection gracefully: nothing more is owed on it."""
 
 
-ConnectionT = TypeVar("ConnectionT", bound=Connection)
+ConnectionT = TypeVar("ConnectionT", bound=FinishableConnection)
 
 
 class CurrentExchange(Generic[ConnectionT]):
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -9,7 +9,7 @@
 
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_timeouts import ClientTimeouts
-from indigokeel.net.downstream.current_exchange import CurrentExchange
+from indigokeel.net.downstream.current_exchange import CurrentExchange, FinishableConnection
 from indigokeel.net.downstream.pipeline import PendingRequest
 from indigokeel.net.downstream.received_request import ReceivedRequest
 from indigokeel.net.downstream.request_decoder import PlainRequest
@@ -25,12 +25,9 @@
 _MAX_MARGIN_RATIO = 0.5  # of a request's budget that the margin for its response may take up
 
 
-class Connection(Protocol):
+class Connection(FinishableConnection, Protocol):
     """The connection whose requests are dispatched."""
 
-    def on_finished(self) -> None:
-        """End the connection gracefully: nothing more is owed on it."""
-
     def abort(self) -> None:
         """Close the connection at once: the client must see that the response is incomplete."""
 
--- a/indigokeel/net/upstream/attempt_sender.py
+++ b/indigokeel/net/upstream/attempt_sender.py
@@ -10,11 +10,11 @@
 from typing import Protocol
 
 from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.metrics import Counters
 from indigokeel.net.errors import LocalError
 from indigokeel.net.messages import OutboundRequest, UpstreamResponse
 from indigokeel.net.upstream.backoff import Backoff
-from indigokeel.net.upstream.circuit_breaker import Address
 from indigokeel.net.upstream.connection import UpstreamConnection
 from indigokeel.net.upstream.connection_releaser import ConnectionReleaser
 from indigokeel.net.upstream.idle_resets import IdleResetEstimator
--- a/indigokeel/net/upstream/circuit_breaker.py
+++ b/indigokeel/net/upstream/circuit_breaker.py
@@ -8,13 +8,13 @@
 
 from random import Random
 
+from indigokeel.endpoints.endpoint_list import Address
+
 FAILURE_THRESHOLD = 4  # consecutive failed connects that open the circuit
 _INITIAL_OPEN_S = 0.2  # the open time is uniform between 0 and this, doubled with each failed trial
 _MAX_OPEN_S = 2.0
 _RETENTION_S = 30.0  # after the open time, until a breaker without further connects is dropped
 
-Address = tuple[str, int]
-
 
 class CircuitBreaker:
     """The circuit of one address. Times are seconds of the caller's clock."""
--- a/indigokeel/net/upstream/connection_pool.py
+++ b/indigokeel/net/upstream/connection_pool.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from indigokeel.net.upstream.circuit_breaker import Address
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.net.upstream.connection import ConnectionHandler, UpstreamConnection
 from indigokeel.net.upstream.connection_table import ConnectionLimits, ConnectionState, ConnectionTable
 from indigokeel.net.upstream.connector import Connector
--- a/indigokeel/net/upstream/connection_releaser.py
+++ b/indigokeel/net/upstream/connection_releaser.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.metrics import Counters
-from indigokeel.net.upstream.circuit_breaker import Address
 from indigokeel.net.upstream.connection import UpstreamConnection
 from indigokeel.net.upstream.upstream_exchange import UpstreamExchange
 
--- a/indigokeel/net/upstream/connector.py
+++ b/indigokeel/net/upstream/connector.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from random import Random
 
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.net.errors import LocalError
 from indigokeel.net.upstream.backoff import ConnectBackoff
-from indigokeel.net.upstream.circuit_breaker import Address, CircuitBreakers
+from indigokeel.net.upstream.circuit_breaker import CircuitBreakers
 from indigokeel.net.upstream.connection import ConnectionOwner, UpstreamConnection
 from indigokeel.net.upstream.connection_table import ConnectionState, ConnectionTable
 from indigokeel.net.upstream.telemetry import Telemetry
--- a/indigokeel/net/upstream/health_check.py
+++ b/indigokeel/net/upstream/health_check.py
@@ -7,10 +7,10 @@
 from typing import NamedTuple
 
 from indigokeel.balancing.events import AttemptOutcome, LoadReport
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.net import http
 from indigokeel.net.errors import LocalError
 from indigokeel.net.messages import UpstreamResponse
-from indigokeel.net.upstream.circuit_breaker import Address
 from indigokeel.net.upstream.connection import UpstreamConnection
 from indigokeel.net.upstream.connection_pool import ConnectionPool
 from indigokeel.net.upstream.connection_releaser import ConnectionReleaser
--- a/indigokeel/net/upstream/waiter_queue.py
+++ b/indigokeel/net/upstream/waiter_queue.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from indigokeel.net.upstream.circuit_breaker import Address
+from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.net.upstream.connection import UpstreamConnection
 
 
--- a/indigokeel/process/effect_executor.py
+++ b/indigokeel/process/effect_executor.py
@@ -20,7 +20,7 @@
 from indigokeel.requests.unserved import Unserved, UnservedCause
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _WaitingClient:
     """The connection that waits for the answer to a request, and what is sent to upstreams for it."""
 
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -25,8 +25,8 @@
 )
 from indigokeel.balancing.settings import Settings
 from indigokeel.endpoints.cordons import CordonRecord, Cordons
-from indigokeel.endpoints.directory import Address, DirectoryChange, EndpointDirectory
-from indigokeel.endpoints.endpoint_list import Endpoint, EndpointList
+from indigokeel.endpoints.directory import DirectoryChange, EndpointDirectory
+from indigokeel.endpoints.endpoint_list import Address, Endpoint, EndpointList
 from indigokeel.endpoints.start_times import StartsSnapshot
 from indigokeel.hot_restart import learned_state
 from indigokeel.requests.balancer_driver import BalancerDriver
