tests: the soak's processes and its acts in modules of their own

Cause: one class of 316 lines started processes, called operators and carried out every act. Change: ProcessGroup starts and ends processes; Run carries out the schedule.

--- a/indigokeel/requests/unserved.py
+++ b/indigokeel/requests/unserved.py
@@ -1,4 +1,4 @@
-"""Why a request was not served: what operators are told of an answer that is no success."""
+"""Why a request was not served: the cause of an answer that is no success."""
 
 from __future__ import annotations
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,11 +17,7 @@
 
 def play(seed: int, seconds: float, folder: Path) -> tuple[History, list[Breach]]:
     """Play one seed, and judge what was seen."""
-    run = Run(plan(seed, seconds), folder)
-    try:
-        history = asyncio.run(run.play())
-    finally:
-        run.kill_all()
+    history = asyncio.run(Run(plan(seed, seconds), folder).play())
     return history, judge(history)
 
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -14,7 +14,7 @@
 HOLD_UP_S = 0.15  # between a process's reading of its clock and its write
 CLIENT_GONE_S = 0.1  # after which no attempt begins
 READY_WITHIN_S = 10.0
-FIRST_LIST_S = 1.0  # after a process is ready, until discovery has told it the list
+FIRST_LIST_S = 1.0  # after a process is ready, until discovery has sent it the list
 MAX_QUIET_CPU_RATIO = 0.25  # of one core, while nothing is sent
 MAX_DESCRIPTORS_KEPT = 40  # more than at the start, once clients are gone
 MAX_RESIDENT_GROWTH_KB = 40_000
@@ -129,7 +129,7 @@
             if arrival.upstream != notice.upstream or not cut_off < arrival.begun_at < notice.until:
                 continue
             if any(s.started_at < arrival.begun_at < s.ready_at + FIRST_LIST_S for s in history.starts):
-                continue  # a process that starts goes by its last known list until discovery tells it
+                continue  # a process that starts goes by its last known list until discovery sends it
             if arrival.begun_at > cut_off + _stalled_s(history, notice.at, arrival.begun_at):
                 yield Breach("sent to a draining upstream", f"{notice!r} {arrival!r}")
 
--- a/tests/soak/peers.py
+++ b/tests/soak/peers.py
@@ -121,7 +121,7 @@
             watch.transport.abort()
 
     def publish(self, upstream: Upstream) -> None:
-        """Tell a change."""
+        """Send a change to each watch."""
         self._index += 1
         change = parse_endpoint_list(upstream.entry(), index=self._index, whole=False)
         if self.fault is None:
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,168 @@
+"""The processes of one run, and the calls that operators make to them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests import faulty_program
+from tests.peers import CLIENTS, OPERATORS, SETTINGS, free_port, rss_kb
+from tests.soak.history import History, ProcessEnd, ProcessStart
+from tests.soak.schedule import Schedule
+
+SOCKETS = 256
+KILL_AFTER_TERM_S = 2.5 + 0.7  # the longest deadline of the settings, and what the pages add
+SAFETY = {**SETTINGS["safety"], "warm-within-s": 2.0}  # upstreams come back often
+POLL_S = 0.02
+
+
+@dataclass
+class Process:
+    """One process of the program."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    mgmt: int
+    log: Path
+    start: ProcessStart
+    descriptors: int = 0
+    resident_kb: int = 0
+    ends: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        with contextlib.suppress(ProcessLookupError):
+            self.popen.send_signal(number)
+
+    def cpu_s(self) -> float:
+        """Return the processor time that the process has used."""
+        values = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(values[11]) + int(values[12])) / os.sysconf("SC_CLK_TCK")
+
+    def descriptor_count(self) -> int:
+        """Return the number of descriptors that the process holds."""
+        return len(os.listdir(f"/proc/{self.popen.pid}/fd"))
+
+
+class ProcessGroup:
+    """The processes that take turns at one address."""
+
+    def __init__(
+        self,
+        schedule: Schedule,
+        folder: Path,
+        history: History,
+        discovery_port: int,
+        known: Callable[[], Any],
+    ) -> None:
+        """``known`` returns the endpoint list that a process is started with."""
+        self.replacing = asyncio.Lock()  # held while a process is started or ended
+        self._schedule = schedule
+        self._folder = folder
+        self._history = history
+        self._discovery_port = discovery_port
+        self._known = known
+        self._processes: list[Process] = []  # in the order of their start
+        self._listener: socket.socket | None = None
+        if schedule.shares_listener:
+            self._listener = socket.create_server((CLIENTS, 0), backlog=512)
+            self.address = self._listener.getsockname()
+        else:
+            self.address = (CLIENTS, free_port(CLIENTS))
+
+    def kill_all(self) -> None:
+        """End what is left."""
+        for process in self._processes:
+            process.popen.kill()
+            process.popen.wait()
+        if self._listener is not None:
+            self._listener.close()
+
+    def live(self) -> list[Process]:
+        """Return the running processes that were not sent SIGTERM."""
+        return [each for each in self._processes if each.is_running() and not each.ends]
+
+    def start(self) -> Process:
+        """Start a process."""
+        name = f"p{len(self._processes)}"
+        mgmt = free_port(OPERATORS)
+        config = self._folder / f"{name}.json"
+        config.write_text(json.dumps(self._config()))
+        faults = self._schedule.process_faults[len(self._processes) % len(self._schedule.process_faults)]
+        env = {"BALANCER_MGMT": f"{OPERATORS}:{mgmt}", "TMPDIR": str(self._folder), **faults}
+        log = self._folder / f"{name}.log"
+        start = ProcessStart(name, time.monotonic())
+        with log.open("wb") as file:
+            popen = faulty_program.start(config, file, self._listener, **env)
+        process = Process(name, popen, mgmt, log, start)
+        self._history.starts.append(start)
+        self._processes.append(process)
+        return process
+
+    def _config(self) -> dict[str, Any]:
+        limits = {**SETTINGS["limits"], "second-copies": self._schedule.hedges}
+        return {
+            "name": "n0",
+            "listen": f"{self.address[0]}:{self.address[1]}",
+            "discovery": f"127.0.0.1:{self._discovery_port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": SOCKETS},
+            "known": self._known(),
+            "settings": {**SETTINGS, "limits": limits, "safety": SAFETY},
+        }
+
+    async def start_ready(self) -> Process:
+        """Start a process and wait until it serves."""
+        process = self.start()
+        while process.is_running() and await self.admin(process, "GET", "health") != 200:
+            await asyncio.sleep(POLL_S)
+        process.start.ready_at = time.monotonic()
+        if process.is_running():
+            process.descriptors = process.descriptor_count()
+            process.resident_kb = rss_kb(process.popen.pid)
+        return process
+
+    async def terminate(self, process: Process, pauses_s: tuple[float, ...]) -> None:
+        """Send SIGTERM once and again, with other signals between, and wait for the end or the kill."""
+        term_at = time.monotonic()
+        process.ends.append(asyncio.current_task())  # type: ignore[arg-type]
+        process.send(signal.SIGTERM)
+        for number, pause_s in enumerate(pauses_s):
+            await asyncio.sleep(pause_s)
+            process.send((signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1)[number % 3])
+        kill_at = term_at + KILL_AFTER_TERM_S
+        while process.is_running() and time.monotonic() < kill_at:
+            await asyncio.sleep(POLL_S / 4.0)
+        ended_at = time.monotonic()
+        if process.is_running():
+            process.popen.kill()
+            ended_at = time.monotonic() + KILL_AFTER_TERM_S
+        code = process.popen.wait()
+        self._history.ends.append(ProcessEnd(process.name, term_at, ended_at, code, kill_at))
+
+    async def admin(self, process: Process, method: str, what: str, who: str = "") -> int:
+        """Make an operator's call; return its status, or 0 without an answer."""
+        body = json.dumps({"who": who}) if who else ""
+        head = f"{method} /admin/{what} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
+        try:
+            reader, writer = await asyncio.open_connection(OPERATORS, process.mgmt)
+            writer.write((head + body).encode())
+            line = await reader.readline()
+            writer.close()
+            return int(line.split(b" ")[1])
+        except (OSError, IndexError, ValueError):
+            return 0
