--- a/indigokeel/balancing/attempt_dispatcher.py
+++ b/indigokeel/balancing/attempt_dispatcher.py
@@ -75,14 +75,11 @@
     def _can_wait(self, now: float, request: RequestState) -> bool:
         """Return whether a change of the endpoint list may bring an upstream in time.
 
-        The list may be out of date where none serves, or where an attempt did not get through. A request that
-        the serving upstreams are too busy for, or that was never sent to them, is answered at once.
+        A new request that all serving upstreams are too busy for is answered at once.
         """
         if request.deadline - now < RULE_MARGIN_S:
             return False
-        if not self._registry.serving_count():
-            return True
-        return any(attempt.begun for attempt in request.attempts)
+        return bool(request.attempts) or not self._registry.serving_count()
 
     def _hedge(self, now: float, request: RequestState, attempt: AttemptState) -> None:
         """Mark an open attempt as overdue, and send a hedged one where that is allowed."""
