requests: an attempt's outcome is its one state; ended and may_have_run follow from it

Change: `ended` and `may_have_run` are properties of the outcome; a cancelled attempt is ended by the same method; the cause of an unserved request is looked up from the last attempt on. Behaviour is the same. Measured: tests/unit/requests, tests/unit/balancing, test_cordons, test_cycles, test_fleet 360 passed; lint and types clean.

--- a/indigokeel/requests/balancer_driver.py
+++ b/indigokeel/requests/balancer_driver.py
@@ -180,11 +180,11 @@
         attempt = request.open_attempt(action.attempt) if request is not None else None
         if request is None or attempt is None:
             return
-        attempt.ended = True
+        outcome = AttemptOutcome.CANCELLED
+        request.end_attempt(action.attempt, outcome)
         request.attempts_in_flight -= 1
         effects.cancelled.append((action.id, action.attempt))
         elapsed = now - attempt.started_at
-        outcome = AttemptOutcome.CANCELLED
         events.append(
             AttemptEnded(action.id, attempt.upstream, action.attempt, outcome, elapsed, request.answered)
         )
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -18,9 +18,17 @@
     started_at: float  # clock time
     send_before: float  # clock time; a retry of a keyed request may not begin later
     sent: bool = False  # its first byte was about to be written
-    ended: bool = False
-    may_have_run: bool = True  # until its outcome proves otherwise
-    outcome: AttemptOutcome | None = None
+    outcome: AttemptOutcome | None = None  # None while it is open
+
+    @property
+    def ended(self) -> bool:
+        """True once it has its outcome."""
+        return self.outcome is not None
+
+    @property
+    def may_have_run(self) -> bool:
+        """True unless its outcome proves that it had no effect."""
+        return self.outcome is None or not self.outcome.never_ran
 
 
 @dataclass(slots=True)
@@ -69,9 +77,7 @@
     def end_attempt(self, number: int, outcome: AttemptOutcome) -> OpenAttempt:
         """Record the one outcome of an attempt."""
         attempt = self.attempts[number]
-        attempt.ended = True
         attempt.outcome = outcome
-        attempt.may_have_run = not outcome.never_ran
         return attempt
 
     def restart_clock(self, now: float) -> None:
--- a/indigokeel/requests/unserved.py
+++ b/indigokeel/requests/unserved.py
@@ -65,7 +65,7 @@
 def _cause(now: float, request: OpenRequest, has_upstreams: bool) -> UnservedCause:
     if now >= request.respond_by:
         return UnservedCause.SHUTDOWN if request.limited_by_shutdown else UnservedCause.DEADLINE
-    outcomes = [attempt.outcome for attempt in request.attempts if attempt.outcome in _CAUSES]
-    if outcomes and outcomes[-1] is not None:
-        return _CAUSES[outcomes[-1]]
+    for attempt in reversed(request.attempts):
+        if attempt.outcome is not None and attempt.outcome in _CAUSES:
+            return _CAUSES[attempt.outcome]
     return UnservedCause.OVERLOAD if has_upstreams else UnservedCause.NO_UPSTREAM
