tests: one configuration and one operator's call for peers and soak; a start that died is not ready

Cause: the soak wrote the configuration and the bytes of an operator's call again that tests/peers.py has, kept a list of tasks where a flag was meant, and noted a process that had died while starting as ready. Change: configuration() and admin_call() in tests/peers.py serve both; Process.is_ending; such a process is now found by the judge as not ready in time, which is stricter than before.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -243,6 +243,32 @@
     )
 
 
+def configuration(
+    listen: tuple[str, int],
+    discovery: int,
+    sockets: int,
+    known: dict[str, Any],
+    settings: dict[str, Any],
+) -> dict[str, Any]:
+    """Return what a configuration file holds; ``discovery`` is a port."""
+    return {
+        "name": "n0",
+        "listen": f"{listen[0]}:{listen[1]}",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": sockets},
+        "known": known,
+        "settings": settings,
+    }
+
+
+def admin_call(method: str, what: str, who: str = "") -> bytes:
+    """Return the bytes of an operator's call."""
+    body = json.dumps({"who": who}) if who else ""
+    head = f"{method} /admin/{what} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
+    return (head + body).encode()
+
+
 class Program:
     """The program, started as ``run`` starts it."""
 
@@ -262,16 +288,7 @@
         self.address = listener.getsockname() if listener else (CLIENTS, free_port(CLIENTS))
         self.mgmt = int(more.get("BALANCER_MGMT", ":0").rpartition(":")[2])
         config = self.config = tmp / "config.json"
-        data = {
-            "name": "n0",
-            "listen": f"{self.address[0]}:{self.address[1]}",
-            "discovery": f"127.0.0.1:{discovery}",
-            "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": sockets},
-            "known": known,
-            "settings": settings,
-        }
-        config.write_text(json.dumps(data))
+        config.write_text(json.dumps(configuration(self.address, discovery, sockets, known, settings)))
         self.log = tmp / f"log-{next(_ids)}"
         self.process = start(config, self.log.open("wb"), listener, **more)
         if not wait:
@@ -283,11 +300,9 @@
 
     def call(self, method: str, what: str, who: str = "") -> int:
         """Make an operator's call; its status, or 0 where nobody listens."""
-        body = json.dumps({"who": who}) if who else ""
-        head = f"{method} /admin/{what} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
         try:
             with socket.create_connection((OPERATORS, self.mgmt), timeout=WAIT) as conn:
-                conn.sendall((head + body).encode())
+                conn.sendall(admin_call(method, what, who))
                 return read_answer(conn.makefile("rb"))[0]
         except ConnectionError:
             return 0
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,12 +11,12 @@
 import subprocess
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from tests import faulty_program
-from tests.peers import CLIENTS, OPERATORS, SETTINGS, free_port, rss_kb
+from tests.peers import CLIENTS, OPERATORS, SETTINGS, admin_call, configuration, free_port, rss_kb
 from tests.soak.history import History, ProcessEnd, ProcessStart
 from tests.soak.schedule import Schedule
 
@@ -37,7 +37,7 @@
     start: ProcessStart
     descriptors: int = 0
     resident_kb: int = 0
-    ends: list[asyncio.Task[None]] = field(default_factory=list)
+    is_ending: bool = False  # it was sent SIGTERM
 
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
@@ -94,7 +94,7 @@
 
     def live(self) -> list[Process]:
         """Return the running processes that were not sent SIGTERM."""
-        return [each for each in self._processes if each.is_running() and not each.ends]
+        return [each for each in self._processes if each.is_running() and not each.is_ending]
 
     def start(self) -> Process:
         """Start a process."""
@@ -115,23 +115,16 @@
 
     def _config(self) -> dict[str, Any]:
         limits = {**SETTINGS["limits"], "second-copies": self._schedule.hedges}
-        return {
-            "name": "n0",
-            "listen": f"{self.address[0]}:{self.address[1]}",
-            "discovery": f"127.0.0.1:{self._discovery_port}",
-            "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": SOCKETS},
-            "known": self._known(),
-            "settings": {**SETTINGS, "limits": limits, "safety": SAFETY},
-        }
+        settings = {**SETTINGS, "limits": limits, "safety": SAFETY}
+        return configuration(self.address, self._discovery_port, SOCKETS, self._known(), settings)
 
     async def start_ready(self) -> Process:
         """Start a process and wait until it serves."""
         process = self.start()
         while process.is_running() and await self.admin(process, "GET", "health") != 200:
             await asyncio.sleep(POLL_S)
-        process.start.ready_at = time.monotonic()
         if process.is_running():
+            process.start.ready_at = time.monotonic()
             process.descriptors = process.descriptor_count()
             process.resident_kb = rss_kb(process.popen.pid)
         return process
@@ -139,7 +132,7 @@
     async def terminate(self, process: Process, pauses_s: tuple[float, ...]) -> None:
         """Send SIGTERM once and again, with other signals between, and wait for the end or the kill."""
         term_at = time.monotonic()
-        process.ends.append(asyncio.current_task())  # type: ignore[arg-type]
+        process.is_ending = True
         process.send(signal.SIGTERM)
         for number, pause_s in enumerate(pauses_s):
             await asyncio.sleep(pause_s)
@@ -156,11 +149,9 @@
 
     async def admin(self, process: Process, method: str, what: str, who: str = "") -> int:
         """Make an operator's call; return its status, or 0 without an answer."""
-        body = json.dumps({"who": who}) if who else ""
-        head = f"{method} /admin/{what} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
         try:
             reader, writer = await asyncio.open_connection(OPERATORS, process.mgmt)
-            writer.write((head + body).encode())
+            writer.write(admin_call(method, what, who))
             line = await reader.readline()
             writer.close()
             return int(line.split(b" ")[1])
