tests: the soak's upstream connections are let go before descriptors are judged

Traced by the counters of that process: client_connections_open 0, upstream_connections_idle 59. It kept idle connections for half of keepalive-s, 30 s here, as the settings allow, and was judged 4 s after the load. Change: the soak's deployment has a keep-alive of 3 s, so that idle connections are closed by then and only a leak is left to find.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -23,6 +23,7 @@
 SOCKETS = 256
 KILL_AFTER_TERM_S = 2.5 + 0.7  # the longest deadline of the settings, and what the pages add
 SAFETY = {**SETTINGS["safety"], "warm-within-s": 2.0}  # upstreams come back often
+KEEPALIVE_S = 3.0  # idle connections to upstreams are closed after half of it, before the quiet is judged
 POLL_S = 0.02
 
 
@@ -114,7 +115,11 @@
         return process
 
     def _config(self) -> dict[str, Any]:
-        limits = {**SETTINGS["limits"], "second-copies": self._schedule.hedges}
+        limits = {
+            **SETTINGS["limits"],
+            "second-copies": self._schedule.hedges,
+            "keepalive-s": KEEPALIVE_S,
+        }
         settings = {**SETTINGS, "limits": limits, "safety": SAFETY}
         return configuration(self.address, self._discovery_port, SOCKETS, self._known(), settings)
 
