review: show that long requests miss their time in a restart while servers hang

In a shutdown the time limit of a request with a streamed body is never started, so one that is sent to a hanging port server is answered only as the process ends. Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 from review.standins.settings import settings
 
 _SERVERS = 8
-_RATE = 60.0
+_RATE = 77.0
 _SECONDS = 60.0
 _SECOND_ANSWERS = "0.1,2,9"  # share of the answers, and after how many milliseconds (from, to)
 
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -76,6 +76,7 @@
         for is_last in (False, True):
             stream = self._idle.pop() if self._idle and not is_last else None
             is_reused = stream is not None
+            request.sent_at = 0.0
             try:
                 stream = stream or await connect(self._address)
             except OSError as error:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -47,6 +47,8 @@
         self.started_at = time.monotonic()
         self._lines: list[str] = []
         self._discovery: Discovery | None = None
+        self._address = ("", 0)
+        self._config: dict[str, Any] = {}
         self._log: Any = None
 
     # --- processes ------------------------------------------------------------------------------------
@@ -80,33 +82,39 @@
         return entries
 
     async def start_sidecar(self, endpoints: list[dict[str, Any]], settings: dict[str, Any]) -> None:
-        """Start discovery and the sidecar by the deploy file's ``run``; return once it is healthy."""
+        """Start discovery and the sidecar; return once the sidecar is healthy."""
         self._discovery = Discovery(endpoints)
         self._discovery.start()
-        address = ("127.0.0.1", _free_port())
-        config = {
+        self._address = ("127.0.0.1", _free_port())
+        self._log = (self.temporary / "sidecar.log").open("wb")
+        self._config = {
             "name": "n0",
-            "listen": f"{address[0]}:{address[1]}",
+            "listen": f"{self._address[0]}:{self._address[1]}",
             "discovery": self._discovery.address,
-            "seed": f"{self.random.randrange(1 << 63):016x}",
+            "seed": "",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self._discovery.whole(),
             "settings": settings,
         }
+        await self.restart_sidecar()
+
+    async def restart_sidecar(self) -> None:
+        """Start the sidecar by the deploy file's ``run``, from nothing; return once it is healthy."""
+        config = self._config
+        config["seed"] = f"{self.random.randrange(1 << 63):016x}"
         path = self.temporary / "config.json"
         path.write_text(json.dumps(config))
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        self._log = (self.temporary / "sidecar.log").open("wb")
         environment = {
             **os.environ,
-            "BALANCER_NAME": "n0",
+            "BALANCER_NAME": config["name"],
             "BALANCER_LISTEN": config["listen"],
             "BALANCER_DISCOVERY": config["discovery"],
             "BALANCER_CONFIG": str(path),
             "TMPDIR": tempfile.mkdtemp(dir=self.temporary),
         }
         self.sidecar = self._start_program(run, environment)
-        self.application = Application(address)
+        self.application = Application(self._address)
         until = time.monotonic() + _READY_WITHIN_S
         while not await self.application.is_healthy():
             if time.monotonic() > until or self.sidecar.poll() is not None:
