--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -209,16 +209,19 @@
 
 def main(folder: Path, case: Callable[[Platform], Awaitable[bool]]) -> None:
     """Run a case, which returns whether the rule held, and exit with its status."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     platform = Platform(folder)
     result = NOT_RUN
     try:
         platform.record(f"seed {platform.seed}, trouble {'on' if platform.trouble else 'off'}")
         held = asyncio.run(asyncio.wait_for(case(platform), _MAX_RUN_S))
         result = HELD if held else BROKEN
-    except (CaseError, OSError, TimeoutError) as error:
+    except Exception as error:  # noqa: BLE001 - a fault of the case must not pass for a broken rule
         platform.record(f"the case could not run: {type(error).__name__}: {error}")
-    platform.record({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no result"}[result])
-    platform.write_record()
-    platform.close()
-    sys.stdout.write((folder / "record.txt").read_text().split("sidecar:")[0].strip().splitlines()[-1] + "\n")
+    finally:
+        verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no result"}[result]
+        platform.record(verdict)
+        platform.write_record()
+        platform.close()
+    sys.stdout.write(f"{verdict}\n")
     sys.exit(result)
