review: show that a late second answer can make an unsafe request run twice

The first case now also counts route-updates that ran twice: a second 503 with Not-Started that is taken for the answer to the next request proves to the sidecar that it never ran. Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""A port server sends some answers a second time; nobody may be served with the answer to another request."""
+"""Port servers send some answers a second time; none may pass for the answer to another request."""
 
 from __future__ import annotations
 
+from collections import Counter
 from pathlib import Path
 
 from review.standins.client import Request
@@ -11,12 +12,19 @@
 _SERVERS = 8
 _RATE = 77.0
 _SECONDS = 60.0
-_SECOND_ANSWERS = "0.1,2,9"  # share of the answers, and after how many milliseconds (from, to)
+_TURNED_AWAY = "0.15"  # share of the requests, with and without the disruption: "queue full"
+_SECOND_ANSWERS = "0.25,2,9"  # share of the answers, and after how many milliseconds (from, to)
 
 
 async def run(platform: Platform) -> bool:
-    """Return whether each request that was served got an answer that a port server made for it."""
-    options = ("--work-ms", "60", *(("--second", _SECOND_ANSWERS) if platform.trouble else ()))
+    """Return whether each request got an answer that was made for it, and no unsafe one ran twice."""
+    options = (
+        "--work-ms",
+        "60",
+        "--full",
+        _TURNED_AWAY,
+        *(("--second", _SECOND_ANSWERS) if platform.trouble else ()),
+    )
     endpoints = platform.start_port_servers(_SERVERS, *options)
     await platform.start_sidecar(endpoints, settings())
 
@@ -29,7 +37,8 @@
 
     requests = await platform.offer_load(_RATE, _SECONDS, make)
     platform.record_all(requests)
-    made = {(event["id"], event["token"]) for event in platform.server_events() if event["event"] == "answer"}
+    events = platform.server_events()
+    made = {(event["id"], event["token"]) for event in events if event["event"] == "answer"}
     wrong = [
         request
         for request in requests
@@ -40,9 +49,16 @@
     for request in wrong:
         assert request.answer is not None
         platform.record(f"WRONG: {request.id} was served with {request.answer.body.decode('latin-1')!r}")
+    runs = Counter(event["id"] for event in events if event["event"] == "begin")
+    twice = [request for request in requests if request.class_name == "route-update" and runs[request.id] > 1]
+    for request in twice:
+        platform.record(f"TWICE: {request.id} ran {runs[request.id]} times, {request.outcome()}")
     served = sum(request.outcome() == "served" for request in requests)
-    platform.record(f"{len(requests)} sent, {served} served, {len(wrong)} served with a foreign answer")
-    return not wrong
+    platform.record(
+        f"{len(requests)} sent, {served} served, {len(wrong)} of them with a foreign answer; "
+        f"{len(twice)} unsafe requests ran twice"
+    )
+    return not wrong and not twice
 
 
 if __name__ == "__main__":
--- a/review/standins/port_server.py
+++ b/review/standins/port_server.py
@@ -3,6 +3,7 @@
 It runs as a process of its own, prints its port, and writes one JSON object a line to its log. What it does
 beyond a sound server is set by options, each of which the pages name:
 
+``--full SHARE``: so many requests are turned away unseen, as by a port server whose queue is full.
 ``--second SHARE,MIN_MS,MAX_MS``: so many answers are sent a second time, so many milliseconds later.
 ``--long SHARE,BYTES,PIECE,PAUSE_S``: so many answers are long and chunked; the port server takes a pause
 after the first piece.
@@ -24,6 +25,7 @@
 from review.standins.http import BrokenMessageError, Message, Stream, listen
 
 _CHUNK_BYTES = 32 * 1024
+_TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 class PortServer:
@@ -61,6 +63,10 @@
                 if request_id is None:
                     await stream.send(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
                     continue
+                if self._random.random() < self._options.full:
+                    self.log("turned away", id=request_id)
+                    await self._send(stream, _TURNED_AWAY, request_id)
+                    continue
                 self.log("begin", id=request_id, body_bytes=message.body_bytes)
                 if not await self._work(stream, request_id):
                     break
@@ -88,8 +94,12 @@
         share, size, piece, pause_s = self._options.long
         if self._random.random() < share and message.headers.get("request-id"):
             return await self._answer_long(stream, request_id, token, (int(size), int(piece), pause_s))
-        answer = self._format(token.encode())
         self.log("answer", id=request_id, token=token)
+        await self._send(stream, self._format(token.encode()), request_id)
+        return True
+
+    async def _send(self, stream: Stream, answer: bytes, request_id: str) -> None:
+        """Send an answer, and have some sent a second time."""
         await stream.send(answer)
         share, min_ms, max_ms = self._options.second
         if self._random.random() < share:
@@ -97,7 +107,6 @@
             task = asyncio.create_task(self._answer_again(stream, answer, request_id, delay_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        return True
 
     def _format(self, body: bytes) -> bytes:
         load = f"util={min(self._in_work / 2.0, 1.0):.2f},qps={10.0 * self._in_work:.1f}"
@@ -158,6 +167,7 @@
     parser.add_argument("--log", required=True)
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--work-ms", type=float, default=30.0)
+    parser.add_argument("--full", type=float, default=0.0)
     parser.add_argument("--second", type=_numbers, default=(0.0, 0.0, 0.0))
     parser.add_argument("--long", type=_numbers, default=(0.0, 0.0, 0.0, 0.0))
     parser.add_argument("--receive-buffer", type=int, default=0)
