--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -28,7 +28,7 @@
         return int(self.start.split(" ")[1])
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Stream:
     """A non-blocking socket with the bytes that were received and not parsed yet."""
 
