--- a/review/2/case.py
+++ b/review/2/case.py
@@ -69,7 +69,7 @@
             size = platform.random.randint(shortest, longest)
         resource = f"{platform.random.randrange(400):04x}"
         if number % 3:
-            return Request(request_id, "route-update", 1200, block[:size], resource=resource)
+            return Request(request_id, "route-update", 700, block[:size], resource=resource)
         return Request(request_id, "port-request", 1250, block[:size], f"key-{request_id}", resource)
 
     trouble = asyncio.create_task(_hang(platform)) if platform.trouble else None
