--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,10 +10,10 @@
 from review.standins.settings import settings
 
 _SERVERS = 8
-_RATE = 77.0
+_RATE = 120.0  # "some see several times the mean"
 _SECONDS = 60.0
 _TURNED_AWAY = "0.15"  # share of the requests, with and without the disruption: "queue full"
-_SECOND_ANSWERS = "0.25,2,9"  # share of the answers, and after how many milliseconds (from, to)
+_SECOND_ANSWERS = "0.25,2,6"  # share of the answers, and after how many milliseconds (from, to)
 
 
 async def run(platform: Platform) -> bool:
