review: end all processes even if a case cannot write its record

A fault of the harness now always gives status 2, a second signal does not interrupt the clean-up, and a run in which nothing is served counts as one that could not run.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,6 +37,7 @@
 
     requests = await platform.offer_load(_RATE, _SECONDS, make)
     platform.record_all(requests)
+    platform.require_service(requests)
     events = platform.server_events()
     made = {(event["id"], event["token"]) for event in events if event["event"] == "answer"}
     wrong = [
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -77,6 +77,7 @@
     if trouble is not None:
         await trouble
     platform.record_all(requests)
+    platform.require_service(requests)
     taken = [request for request in requests if request.sent_at]
     lost = [
         request
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -69,6 +69,7 @@
         requests += await platform.offer_load(_RATE, _END_AFTER_S + _LOAD_AFTER_END_S, make)
         await trouble
     platform.record_all(requests)
+    platform.require_service(requests)
     taken = [request for request in requests if request.sent_at]
     lost = [
         request
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+_VERDICTS = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no result"}
+_ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _MAX_RUN_S = 110.0
 _READY_WITHIN_S = 30.0
 
@@ -173,6 +176,12 @@
             elif request.fault:
                 self.record(f"client has no answer to {request.id}: {request.fault}", request.sent_at or None)
 
+    @staticmethod
+    def require_service(requests: list[Request]) -> None:
+        """Raise CaseError if nothing was served: a rule that nothing could break has not held."""
+        if not any(request.outcome() == "served" for request in requests):
+            raise CaseError("no request was served")
+
     def write_record(self) -> None:
         """Write the record, in order of time."""
         lines = sorted(self._lines, key=lambda line: float(line.split()[0]))
@@ -207,10 +216,8 @@
         return int(server.getsockname()[1])
 
 
-def main(folder: Path, case: Callable[[Platform], Awaitable[bool]]) -> None:
-    """Run a case, which returns whether the rule held, and exit with its status."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    platform = Platform(folder)
+def _run(platform: Platform, case: Callable[[Platform], Awaitable[bool]]) -> int:
+    """Run a case, write its record, end its processes, and return its status."""
     result = NOT_RUN
     try:
         platform.record(f"seed {platform.seed}, trouble {'on' if platform.trouble else 'off'}")
@@ -219,9 +226,24 @@
     except Exception as error:  # noqa: BLE001 - a fault of the case must not pass for a broken rule
         platform.record(f"the case could not run: {type(error).__name__}: {error}")
     finally:
-        verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no result"}[result]
-        platform.record(verdict)
-        platform.write_record()
-        platform.close()
-    sys.stdout.write(f"{verdict}\n")
+        for number in _ENDING_SIGNALS:  # a second one must not keep the processes from being ended
+            signal.signal(number, signal.SIG_IGN)
+        try:
+            platform.record(_VERDICTS[result])
+            platform.write_record()
+        finally:
+            platform.close()
+    return result
+
+
+def main(folder: Path, case: Callable[[Platform], Awaitable[bool]]) -> None:
+    """Run a case, which returns whether the rule held, and exit with its status."""
+    for number in _ENDING_SIGNALS:
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    result = NOT_RUN
+    try:
+        result = _run(Platform(folder), case)
+    except Exception:  # noqa: BLE001 - nor may a record that cannot be written
+        traceback.print_exc()
+    sys.stdout.write(f"{_VERDICTS[result]}\n")
     sys.exit(result)
