requests: run the time limit of a long request while its last byte may be unread

Cause: the time limit of a streamed body started when the sidecar read its last byte, and the sidecar stops reading while the upstream takes nothing. So the limit never started, no timer existed, and the attempt had no outcome. A request's time runs from when its client has written that byte, which may then wait in the socket buffers.

Ruled out: a blocked event loop (loop_lag_ms under 1), a decided answer that is not written (requests_failed absent), a connection limit (it was sent).

Change: ReadFlow keeps the time since which the end of a body may be waiting unread, and the client connection reports its changes. The coordinator runs the limit from then, or suspends it once all input is read. The last byte counts from the time at which it may have arrived. A very long body that is taken slowly but steadily keeps its request while more is missing than both socket buffers hold. One timer a request is scheduled at a time, however often reading pauses. Related path: a long body behind another request of its connection is rejected when its time is over (it was served late), and passes on no more than the time left.

--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -35,6 +35,7 @@
         "_input",
         "_keep_alive",
         "_timeouts",
+        "_unread_since",
         "_writer",
         "busy",
         "request_id",
@@ -56,6 +57,7 @@
         self._writer = writer
         self._timeouts = timeouts
         self._keep_alive = True  # the connection persists after the current response
+        self._unread_since: float | None = None  # as last reported for the request's streamed body
         self.busy = False  # a request is being served or responded to
         self.request_id = ""  # of the request that the sidecar is serving, until its response
 
@@ -67,6 +69,7 @@
     def on_accepted(self, request_id: str) -> None:
         """Record that the sidecar serves the request from now on."""
         self.request_id = request_id
+        self._unread_since = None
 
     def cancel(self) -> None:
         """Cancel the request being served; nothing more is written for it."""
@@ -119,12 +122,21 @@
         if not self._keep_alive and not self.busy and self._input.pipeline.first() is None:
             self._connection().on_finished()
 
+    def report_unread_body(self) -> None:
+        """Report a change of the time since which the end of the request's streamed body may be unread."""
+        if not self.request_id or self._input.active_stream() is None:
+            return
+        unread_since = self._input.flow.unread_since()
+        if unread_since != self._unread_since:
+            self._unread_since = unread_since
+            self._handler.request_body_unread(self.request_id, unread_since)
+
     def on_stream_ended(self, request_stream: RequestStream, keep_alive: bool) -> None:
         """Handle the last byte of the streamed body of the request being served."""
         self._keep_alive = self._keep_alive and keep_alive
         request_stream.end()
         if self.request_id:
-            self._handler.request_body_received(self.request_id)
+            self._handler.request_body_received(self.request_id, self._input.pipeline.arrived_at)
         elif not self._writer.is_streaming() and not self._keep_alive:
             self._connection().on_finished()
 
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from typing import Protocol
 
@@ -15,6 +16,9 @@
 # Without pauses, a client that repeats an invalid request after each response would occupy the event loop.
 _ERRORS_PER_PAUSE = 16
 _ERROR_PAUSE_S = 0.01
+# What a client may have written beyond the receive buffer of this side: Linux allows a socket 4 MiB by
+# default, and SO_SNDBUF doubles its value.
+_MAX_CLIENT_SEND_BUFFER_BYTES = 8 << 20
 
 
 class FlowControlHandler(Protocol):
@@ -86,10 +90,18 @@
     def on_read(self, now: float) -> float:
         """Record a read; return the monotonic seconds since which its bytes may have been waiting."""
         arrived_at = self._backlog_since or now
-        self._backlog_since = 0.0
+        if self._parser.request_stream is None:  # else ``regulate`` finds out whether more is waiting
+            self._backlog_since = 0.0
         self.last_read_at = now
         return arrived_at
 
+    def unread_since(self) -> float | None:
+        """Return the monotonic seconds since which the end of a streamed body may have been waiting.
+
+        None if the client has certainly not sent its last byte yet.
+        """
+        return self._backlog_since or self.paused_at or None
+
     def stop(self) -> None:
         """Drop the unparsed bytes, and parse nothing more."""
         self.stopped = True
@@ -142,15 +154,37 @@
                 asyncio.get_running_loop().call_soon(self._parse_scheduled)
         elif self.paused_at:
             self._end_pause()
+        elif self._backlog_since:
+            self._update_backlog()
 
     def _end_pause(self) -> None:
         """Resume reading; the pause does not count towards the client's timeouts."""
         self._timeouts.exclude_pause(self.paused_at, time.monotonic())
         # The deadline of a request that arrived during the pause has been running since then.
-        if http.is_readable(self._transport.get_extra_info("socket").fileno()):
-            self._backlog_since = self.paused_at
+        self._backlog_since = self._backlog_since or self.paused_at
+        self._update_backlog()
         self.resume()
 
+    def _update_backlog(self) -> None:
+        """End the backlog if the end of the current message cannot be waiting to be read."""
+        if not self._may_hold_end_of_message():
+            self._backlog_since = 0.0
+
+    def _may_hold_end_of_message(self) -> bool:
+        """Return whether input is waiting, and the socket buffers may hold all the rest of a message."""
+        if self._transport.is_closing() or self._is_discarding_body():
+            return False
+        client = self._transport.get_extra_info("socket")
+        if not http.is_readable(client.fileno()):
+            return False
+        receive_buffer_bytes: int = client.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        buffered_bytes = receive_buffer_bytes + _MAX_CLIENT_SEND_BUFFER_BYTES
+        return self._parser.remaining_body_bytes() <= buffered_bytes
+
+    def _is_discarding_body(self) -> bool:
+        """Return whether the current message has its response, so that only what follows it matters."""
+        return self._parser.in_message and self._parser.already_responded
+
     def pause(self) -> None:
         """Pause reading."""
         if not self.paused_at and not self._transport.is_closing():
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -95,7 +95,7 @@
             except Exception as error:  # an internal error must not affect other connections
                 self._on_fault(error)
         self._processing = False
-        self.input.flow.regulate()
+        self.regulate_reading()
 
     def _serve_queued(self) -> None:
         """Serve queued requests until one is in progress; after the last, serve what follows the queue."""
@@ -115,7 +115,8 @@
         streamed = request_input.take_streamed_request()
         if streamed is not None:
             self.exchange.begin(keep_alive=True)
-            self._accept(time.monotonic(), streamed, admitted=False)
+            streamed.request.body_unread_since = request_input.flow.unread_since()
+            self._accept(streamed.request.body_unread_since or time.monotonic(), streamed, admitted=False)
         elif request_input.flow.stopped:
             if request_input.read_error is not None:
                 self._counters.add("messages_malformed")
@@ -175,7 +176,8 @@
         self._counters.add("requests_accepted")
         self.input.flow.reset_errors()
         self.exchange.on_accepted(request.id)
-        request.budget = budget_s
+        if not request.body_streamed:
+            request.budget = budget_s
         request.queued_s = waited_s
         self._handler.handle_request(connection, now, request, received.outbound)
 
@@ -223,8 +225,9 @@
         self.exchange.on_stream_ended(request_stream, keep_alive)
 
     def regulate_reading(self) -> None:
-        """Pause or resume reading."""
+        """Pause or resume reading, and report whether the end of a streamed body may be waiting unread."""
         self.input.flow.regulate()
+        self.exchange.report_unread_body()
 
     def has_disconnected(self) -> bool:
         """Return whether the operating system reports that the client has disconnected."""
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -73,10 +73,15 @@
             self._coordinator.limit_deadlines(times.answer_by)
             self._executor.timer.bring_forward()
 
-    def request_body_received(self, request_id: str) -> None:
-        """Start the time limit of a request whose streamed body has been received."""
-        self._coordinator.request_body_received(time.monotonic(), request_id)
-        self._executor.timer.reschedule()
+    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
+        """Start or suspend the time limit of a request whose streamed body may be waiting unread."""
+        self._coordinator.request_body_unread(request_id, unread_since)
+        self._executor.timer.bring_forward()
+
+    def request_body_received(self, request_id: str, arrived_at: float) -> None:
+        """Start the time limit of a request whose streamed body has been read."""
+        self._coordinator.request_body_received(request_id, arrived_at)
+        self._executor.timer.bring_forward()
 
     def shed_early(
         self, client: ClientConnection, arrived: float, class_name: str, budget: float
--- a/indigokeel/requests/balancer_driver.py
+++ b/indigokeel/requests/balancer_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 
 from indigokeel.balancing.actions import (
@@ -92,11 +93,17 @@
         return explain_unserved(now, request, self._directory.has_upstreams(), cause)
 
     def schedule_expiry(self, request: OpenRequest) -> None:
-        """Schedule the expiry of a request at its ``respond_by``."""
-        self._timers.schedule(request.respond_by, partial(self._expire, request), request)
+        """Schedule the expiry of a request at its ``respond_by``, unless an earlier timer will do so."""
+        if request.respond_by < request.expiry_due_at:
+            request.expiry_due_at = request.respond_by
+            self._timers.schedule(request.respond_by, partial(self._expire, request), request)
 
     def _expire(self, request: OpenRequest, now: float, effects: Effects) -> None:
         """Time out the open attempts of a request whose time is over, and answer it if it has no answer."""
+        request.expiry_due_at = math.inf
+        if now < request.respond_by:  # its time limit was suspended or started anew
+            self.schedule_expiry(request)
+            return
         for number in range(len(request.attempts)):
             self.time_out_attempt(now, request, number, effects)
         if not request.answered:
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -104,20 +104,30 @@
             effects.answers.append(self._requests.reject_for_capacity(request))
             return effects
         open_request = self._requests.open(now, request)
-        if not request.body_streamed:
-            self._driver.schedule_expiry(open_request)
+        self._driver.schedule_expiry(open_request)
         event = RequestArrived(
             request.id, request.class_name, request.budget, request.tenant, request.key, request.hint
         )
         self._driver.deliver(now, event, effects, open_request)
         return effects
 
-    def request_body_received(self, now: float, request_id: str) -> None:
-        """Start the time limit of a request with a streamed body, whose last byte has been received."""
+    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
+        """Start the time limit of a request, as the last byte of its streamed body may be waiting unread.
+
+        It starts at ``unread_since``. None suspends it: the client has certainly not sent that byte yet.
+        """
         request = self._requests.get(request_id)
-        if request is not None and not request.answered and request.respond_by == math.inf:
-            request.restart_time_limit(now)
-            self._driver.schedule_expiry(request)
+        if request is None or request.answered or request.limited_by_shutdown:
+            return
+        if unread_since is None:
+            request.suspend_time_limit()
+            return
+        request.start_time_limit(unread_since)
+        self._driver.schedule_expiry(request)
+
+    def request_body_received(self, request_id: str, arrived_at: float) -> None:
+        """Start the time limit of a request with a streamed body, whose last byte may have arrived then."""
+        self.request_body_unread(request_id, arrived_at)
 
     def client_disconnected(self, now: float, request_id: str) -> Effects:
         """End a request whose client has disconnected; it needs no answer any more."""
--- a/indigokeel/requests/effects.py
+++ b/indigokeel/requests/effects.py
@@ -29,7 +29,10 @@
     key: str = ""
     hint: float = 0.0  # the client's estimate of its work, in seconds of a standard core; 0 if there is none
     queued_s: float = 0.0  # seconds of the client's time limit spent behind other requests of the connection
-    body_streamed: bool = False  # the time limit then starts with ``request_body_received``
+    body_streamed: bool = False  # the time limit starts with the last byte of the body
+    # Clock time since which that byte may be waiting unread, or None if the client has certainly not sent it
+    # yet; the time limit then runs since that time.
+    body_unread_since: float | None = None
     limited_by_shutdown: bool = False  # a shutdown made ``budget`` shorter than the client's time limit
 
 
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -40,7 +40,7 @@
     id: str
     class_name: str
     received_at: float  # clock time
-    respond_by: float  # clock time by which it is answered; infinite while a streamed body is received
+    respond_by: float  # clock time by which it is answered; infinite while its client sends a streamed body
     idempotency_window: float  # seconds after the first attempt in which a retry may be sent
     max_attempts: int
     time_limit: float  # seconds from the arrival, or from the last byte of a streamed body, to ``respond_by``
@@ -52,6 +52,7 @@
     answered: bool = False
     closed: bool = False
     pending_timers: int = 0  # see ``TimerQueue``
+    expiry_due_at: float = math.inf  # clock time of the next timer that checks ``respond_by``
 
     def add_attempt(self, upstream: str, now: float) -> OpenAttempt:
         """Add an attempt that starts now."""
@@ -82,11 +83,15 @@
         attempt.outcome = outcome
         return attempt
 
-    def restart_time_limit(self, now: float) -> None:
-        """Start the time limit now, when the last byte of a streamed body has been received."""
-        self.respond_by = now + self.time_limit
+    def start_time_limit(self, started_at: float) -> None:
+        """Let the time limit start when the last byte of a streamed body arrived or may have arrived."""
+        self.respond_by = started_at + self.time_limit
         for attempt in self.attempts:
-            attempt.started_at = now
+            attempt.started_at = max(attempt.started_at, started_at)
+
+    def suspend_time_limit(self) -> None:
+        """Let no time limit run until ``start_time_limit``."""
+        self.respond_by = math.inf
 
     def is_done(self) -> bool:
         """Return True once the request is answered and no attempt is in flight."""
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -70,11 +70,12 @@
         if request.id in self._requests:
             raise ValueError(f"a request of this id is open: {request.id}")
         time_limit = self._time_limit(request)
+        started_at = request.body_unread_since if request.body_streamed else now
         open_request = OpenRequest(
             id=request.id,
             class_name=request.class_name,
             received_at=now,
-            respond_by=math.inf if request.body_streamed else now + time_limit,
+            respond_by=math.inf if started_at is None else started_at + time_limit,
             idempotency_window=self._idempotency_windows.get(request.class_name, math.inf),
             max_attempts=self._limits.max_attempts,
             time_limit=time_limit,
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -36,6 +36,7 @@
 )
 
 LONG_BODY = os.urandom(1 << 20)
+LONG_UPLOAD_BYTES = 32 << 20  # more than the sockets on the way to an upstream hold
 
 
 def chunked(body: bytes, size: int) -> bytes:
@@ -244,6 +245,57 @@
         assert read_response(conn.makefile("rb"))[1].body == LONG_BODY
 
 
+@pytest.mark.parametrize(
+    "framing", [f"Content-Length: {LONG_UPLOAD_BYTES}\r\n", "Transfer-Encoding: chunked\r\n"]
+)
+def test_long_request_is_answered_in_time_if_its_upstream_reads_nothing(tmp_path: Path, framing: str) -> None:
+    """Guards against a request that was never answered: its time limit waited for an unread byte."""
+    answered = threading.Event()
+    received: list[bytes] = []
+
+    def exchange(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        assert answered.wait(TIMEOUT_S)
+        received.append(file.read())  # up to the end of the connection
+
+    body = bytes(LONG_UPLOAD_BYTES)
+    raw = _post(body if "Length" in framing else chunked(body, 1 << 16), framing)
+    with running(tmp_path, RawUpstream(exchange)) as (program, _, _d), program.connect() as conn:
+        sender = threading.Thread(target=conn.sendall, args=(raw,))
+        sender.start()
+        file = conn.makefile("rb")
+        try:
+            assert read_response(file)[0] == 500
+        finally:
+            answered.set()
+        sender.join()  # the rest of the body is read and discarded
+        until(lambda: bool(received))
+        assert len(received[0]) < LONG_UPLOAD_BYTES
+        counters = program.counters()
+        assert (counters["requests_failed_deadline"], counters["attempt_cancelled"]) == (1, 1)
+        conn.sendall(request("view"))
+        assert read_response(file)[0] in (200, 500, 503)  # the connection is still in use
+
+
+def test_long_request_is_rejected_if_it_waited_for_too_long_behind_another(tmp_path: Path) -> None:
+    """Guards against an answer after the client's time, which passes while a long body waits to be read."""
+
+    def upstream(message: Message) -> bytes:
+        time.sleep(0.5)
+        return echo(message)
+
+    with running(tmp_path, upstream) as (program, upstreams, _), program.connect() as conn:
+        raw = request("pay", b"first") + request("pay", LONG_BODY, wait_ms=300)
+        sender = threading.Thread(target=conn.sendall, args=(raw,))
+        sender.start()
+        file = conn.makefile("rb")
+        assert read_response(file)[1].body == b"first"
+        assert read_response(file)[0] == 503
+        sender.join()
+        assert [message.body for message in upstreams[0].received] == [b"first"]
+
+
 def test_truncated_long_request_is_never_complete_at_the_upstream(tmp_path: Path) -> None:
     with running(tmp_path, echo) as (program, upstreams, _):
         with program.connect() as conn:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -9,6 +9,7 @@
 import re
 import signal
 import socket
+import time
 import weakref
 from collections.abc import Callable
 from pathlib import Path
@@ -23,6 +24,7 @@
 from indigokeel.net.downstream.received_request import ReceivedRequest
 from indigokeel.net.downstream.request_decoder import read_request
 from indigokeel.net.messages import OutboundRequest, UpstreamResponse
+from indigokeel.net.streams import RequestStream
 from indigokeel.requests.effects import FinalStatus, Request
 from tests.peers import (
     TIMEOUT_S,
@@ -355,6 +357,68 @@
     assert budgets[0] <= 5.0 and all(budget <= 4.8 for budget in budgets[1:])
 
 
+class StreamHandler(Handler):
+    """Takes the streamed body of a request, and records since when the rest of it may be unread."""
+
+    def __init__(self) -> None:
+        super().__init__(slow=True)
+        self.stream: RequestStream | None = None
+        self.unread_since: list[float | None] = []
+        self.arrived_at = 0.0
+
+    def handle_request(
+        self, connection: ClientConnection, arrived: float, request: Request, outbound: OutboundRequest
+    ) -> None:
+        super().handle_request(connection, arrived, request, outbound)
+        self.stream = outbound.request_stream
+
+    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
+        self.unread_since.append(unread_since)
+
+    def request_body_received(self, request_id: str, arrived_at: float) -> None:
+        self.arrived_at = arrived_at
+
+
+class AllTakingSink:
+    """An upstream connection that takes everything."""
+
+    def is_writable(self) -> bool:
+        return True
+
+    def write(self, chunks: list[bytes]) -> None: ...
+
+
+def test_end_of_a_streamed_body_may_be_unread_since_the_pause_until_all_input_was_read() -> None:
+    """Guards against a time limit that starts only when the sidecar reads the last byte of a body."""
+
+    async def run_scenario() -> tuple[list[float | None], float, float]:
+        handler = StreamHandler()
+        _, client_socket, _ = await open_connection(handler)
+        loop = asyncio.get_running_loop()
+        client_socket.setblocking(False)
+        raw = request("pay", b"z" * 3_000_000)
+        began = time.monotonic()
+        sending = asyncio.create_task(loop.sock_sendall(client_socket, raw[:2_000_000]))
+        while not handler.unread_since:  # nobody takes the body, so that reading pauses
+            await asyncio.sleep(0.001)
+        assert handler.stream is not None
+        handler.stream.attach(AllTakingSink())
+        await sending
+        while handler.unread_since[-1] is not None:
+            await asyncio.sleep(0.001)
+        reported = list(handler.unread_since)
+        resumed = time.monotonic()
+        await loop.sock_sendall(client_socket, raw[2_000_000:])
+        while not handler.arrived_at:
+            await asyncio.sleep(0.001)
+        client_socket.close()
+        assert reported[0] is not None and began < reported[0] < resumed
+        return reported, resumed, handler.arrived_at
+
+    reported, resumed, arrived_at = asyncio.run(asyncio.wait_for(run_scenario(), TIMEOUT_S))
+    assert reported[1:] == [None] and arrived_at >= resumed
+
+
 @pytest.mark.parametrize(
     "sent", [b"", PAY, PAY[:-1], request("odd"), b"noise\r\n\r\n", request("pay", LONG_BODY)[:100_000]]
 )
--- a/tests/unit/requests/test_coordinator.py
+++ b/tests/unit/requests/test_coordinator.py
@@ -92,6 +92,37 @@
     assert [a.status for a in effects.answers] == ([] if retried else [FinalStatus.FAILED])
 
 
+def run_timers_until(coordinator: RequestCoordinator, end: float) -> list[tuple[float, FinalStatus]]:
+    """Run all timers up to a clock time; return the times and kinds of the final answers."""
+    answers = []
+    while (now := coordinator.next_deadline()) <= end:
+        answers += [(now, answer.status) for answer in coordinator.tick(now).answers]
+    return answers
+
+
+def test_time_limit_of_a_streamed_request_runs_while_its_last_byte_may_be_unread() -> None:
+    """Guards against a request that is never answered because its upstream takes nothing of its body."""
+    coordinator = make_coordinator()
+    attempt, _ = submit_request(coordinator, class_name="pay", body_streamed=True)
+    assert coordinator.may_send_attempt(100.0, attempt)
+    coordinator.request_body_unread("j", 100.2)
+    assert run_timers_until(coordinator, 101.0) == []
+    coordinator.request_body_unread("j", None)  # all that the client has sent was read, and its body goes on
+    assert run_timers_until(coordinator, 110.0) == []
+    coordinator.request_body_unread("j", 110.0)
+    assert run_timers_until(coordinator, 120.0) == [(111.0 - RESPONSE_MARGIN_S, FinalStatus.FAILED)]
+    assert not coordinator.is_open("j")
+
+
+def test_time_limit_of_a_streamed_request_includes_its_wait_behind_another() -> None:
+    """Guards against a time-out passed on, and an answer, that come after the client's time."""
+    coordinator = make_coordinator()
+    attempt, _ = submit_request(coordinator, class_name="pay", body_streamed=True, body_unread_since=99.5)
+    respond_by = 100.5 - RESPONSE_MARGIN_S
+    assert attempt.times_out_at == respond_by
+    assert [now for now, _ in run_timers_until(coordinator, 110.0)] == [respond_by]
+
+
 def test_no_attempt_is_sent_to_a_draining_upstream() -> None:
     """Guards against sending on a connection that was established after the upstream started to drain."""
     coordinator = make_coordinator()
