requests: keep the client's time limit of a long request during a shutdown

Cause: until its last byte such a request had no end, a shutdown gave it the end of the process, and the last byte started the client's limit only where there was no end yet. One field stood for two limits, so the later one stayed for good.

Change: an open request keeps answer_by, set by a shutdown for open and later requests, beside its time limit, and respond_by is the earlier one. The request service no longer limits all open requests again for each streamed request that comes during a shutdown.

--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -67,11 +67,6 @@
             request.limited_by_shutdown = time_left_s < request.budget
             request.budget = min(request.budget, time_left_s)
         self._executor.execute(self._coordinator.pick(arrived, request))
-        if (
-            times is not None and request.body_streamed
-        ):  # its time limit starts later but has to end in time too
-            self._coordinator.limit_deadlines(times.answer_by)
-            self._executor.timer.bring_forward()
 
     def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
         """Start or suspend the time limit of a request whose streamed body may be waiting unread."""
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -117,7 +117,7 @@
         It starts at ``unread_since``. None suspends it: the client has certainly not sent that byte yet.
         """
         request = self._requests.get(request_id)
-        if request is None or request.answered or request.limited_by_shutdown:
+        if request is None or request.answered:
             return
         if unread_since is None:
             request.suspend_time_limit()
@@ -145,13 +145,13 @@
                 self._driver.end_attempt(now, request, number, AttemptOutcome.NOT_SENT, effects)
         return effects
 
-    def limit_deadlines(self, respond_by: float) -> None:
-        """Bring later deadlines of open requests forward to ``respond_by``, as the process shuts down."""
-        for request in self._requests.unanswered_requests():
-            if request.respond_by > respond_by:
-                request.respond_by = respond_by
-                request.limited_by_shutdown = True
-                self._driver.schedule_expiry(request)
+    def limit_deadlines(self, answer_by: float) -> None:
+        """Answer all requests, open and later ones, by ``answer_by``, as the process shuts down.
+
+        Time limits that end earlier stay in force, and so do those that start later.
+        """
+        for request in self._requests.limit_to_shutdown(answer_by):
+            self._driver.schedule_expiry(request)
 
     def may_send_attempt(self, now: float, attempt: Attempt) -> bool:
         """Decide whether an attempt may still be sent; called right before its first byte is written.
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -40,7 +40,10 @@
     id: str
     class_name: str
     received_at: float  # clock time
-    respond_by: float  # clock time by which it is answered; infinite while its client sends a streamed body
+    # Clock time by which it is answered: the end of its time limit, or ``answer_by`` if that is earlier. The
+    # time limit does not run while the client sends a streamed body.
+    respond_by: float
+    answer_by: float  # clock time by which a shutdown needs its answer, or infinity
     idempotency_window: float  # seconds after the first attempt in which a retry may be sent
     max_attempts: int
     time_limit: float  # seconds from the arrival, or from the last byte of a streamed body, to ``respond_by``
@@ -48,12 +51,17 @@
     delayed_by_client: bool  # it waited behind other requests of its client; not blamed on an upstream
     attempts: list[OpenAttempt] = field(default_factory=list)
     attempts_in_flight: int = 0
-    limited_by_shutdown: bool = False  # ``respond_by`` was brought forward by a shutdown
+    budget_limited_by_shutdown: bool = False  # ``time_limit`` is less than the client's
     answered: bool = False
     closed: bool = False
     pending_timers: int = 0  # see ``TimerQueue``
     expiry_due_at: float = math.inf  # clock time of the next timer that checks ``respond_by``
 
+    @property
+    def limited_by_shutdown(self) -> bool:
+        """True if a shutdown, and not the client's time limit, determines ``respond_by``."""
+        return self.budget_limited_by_shutdown or self.respond_by == self.answer_by < math.inf
+
     def add_attempt(self, upstream: str, now: float) -> OpenAttempt:
         """Add an attempt that starts now."""
         first = next((attempt.started_at for attempt in self.attempts if attempt.may_have_run), math.inf)
@@ -85,13 +93,18 @@
 
     def start_time_limit(self, started_at: float) -> None:
         """Let the time limit start when the last byte of a streamed body arrived or may have arrived."""
-        self.respond_by = started_at + self.time_limit
+        self.respond_by = min(started_at + self.time_limit, self.answer_by)
         for attempt in self.attempts:
             attempt.started_at = max(attempt.started_at, started_at)
 
     def suspend_time_limit(self) -> None:
-        """Let no time limit run until ``start_time_limit``."""
-        self.respond_by = math.inf
+        """Let no time limit run until ``start_time_limit``, other than that of a shutdown."""
+        self.respond_by = self.answer_by
+
+    def limit_to_shutdown(self, answer_by: float) -> None:
+        """Require an answer by the end of a shutdown; an earlier end of the time limit stays in force."""
+        self.answer_by = answer_by
+        self.respond_by = min(self.respond_by, answer_by)
 
     def is_done(self) -> bool:
         """Return True once the request is answered and no attempt is in flight."""
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -27,6 +27,7 @@
         """``timers`` is the queue that holds the timers of the requests."""
         self._timers = timers
         self._requests: dict[str, OpenRequest] = {}
+        self._answer_by = math.inf  # clock time by which a shutdown needs all answers
         self.unanswered = 0
         self.apply_settings(settings)
 
@@ -61,9 +62,13 @@
         """Return the open request with this id, or None."""
         return self._requests.get(request_id)
 
-    def unanswered_requests(self) -> list[OpenRequest]:
-        """Return the requests that have no final answer yet."""
-        return [request for request in self._requests.values() if not request.answered]
+    def limit_to_shutdown(self, answer_by: float) -> list[OpenRequest]:
+        """Require all answers, also to later requests, by a clock time; return the unanswered requests."""
+        self._answer_by = answer_by
+        unanswered = [request for request in self._requests.values() if not request.answered]
+        for request in unanswered:
+            request.limit_to_shutdown(answer_by)
+        return unanswered
 
     def open(self, now: float, request: Request) -> OpenRequest:
         """Record a request that has just arrived; raise ValueError if its id is in use."""
@@ -75,12 +80,15 @@
             id=request.id,
             class_name=request.class_name,
             received_at=now,
-            respond_by=math.inf if started_at is None else started_at + time_limit,
+            respond_by=self._answer_by
+            if started_at is None
+            else min(started_at + time_limit, self._answer_by),
+            answer_by=self._answer_by,
             idempotency_window=self._idempotency_windows.get(request.class_name, math.inf),
             max_attempts=self._limits.max_attempts,
             time_limit=time_limit,
             body_streamed=request.body_streamed,
-            limited_by_shutdown=request.limited_by_shutdown,
+            budget_limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.queued_s > _MIN_DELAY_BY_CLIENT_S,
         )
         self._requests[request.id] = open_request
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -278,6 +278,33 @@
         assert read_response(file)[0] in (200, 500, 503)  # the connection is still in use
 
 
+@pytest.mark.parametrize("begun_before", [True, False])
+def test_long_request_is_answered_in_its_own_time_during_a_shutdown(
+    tmp_path: Path, begun_before: bool
+) -> None:
+    """Guards against an answer at the end of the process, seconds after the client's time."""
+    ended = threading.Event()
+
+    def hang(message: Message) -> bytes:
+        assert ended.wait(TIMEOUT_S)
+        return echo(message)
+
+    with running(tmp_path, hang) as (program, _, _d), program.connect() as conn:
+        raw = request("pay", LONG_BODY, wait_ms=300)
+        sent = 200_000 if begun_before else 100
+        conn.sendall(raw[:sent])
+        if begun_before:
+            until(lambda: program.counters().get("requests_accepted") == 1)
+        program.process.send_signal(signal.SIGTERM)
+        until(lambda: "stopping" in program.log.read_text())
+        conn.sendall(raw[sent:])
+        assert read_response(conn.makefile("rb"))[0] == 500
+        assert program.process.wait(TIMEOUT_S) == 0
+        ended.set()
+        counters = program.last_counters()
+        assert (counters["requests_failed"], counters.get("requests_failed_deadline")) == (1, 1)
+
+
 def test_long_request_is_rejected_if_it_waited_for_too_long_behind_another(tmp_path: Path) -> None:
     """Guards against an answer after the client's time, which passes while a long body waits to be read."""
 
--- a/tests/unit/requests/test_coordinator.py
+++ b/tests/unit/requests/test_coordinator.py
@@ -123,6 +123,35 @@
     assert [now for now, _ in run_timers_until(coordinator, 110.0)] == [respond_by]
 
 
+@pytest.mark.parametrize("shutdown_first", [False, True])
+@pytest.mark.parametrize(("answer_by", "answered_at"), [(103.0, 101.4 - RESPONSE_MARGIN_S), (100.8, 100.8)])
+def test_streamed_request_is_answered_in_its_time_and_that_of_a_shutdown(
+    shutdown_first: bool, answer_by: float, answered_at: float
+) -> None:
+    """Guards against a shutdown that replaces the time limit of a long request by its own, later one."""
+    coordinator = make_coordinator()
+    if shutdown_first:
+        coordinator.limit_deadlines(answer_by)
+    attempt, _ = submit_request(coordinator, class_name="pay", body_streamed=True)
+    coordinator.limit_deadlines(answer_by)
+    assert coordinator.may_send_attempt(100.0, attempt)
+    coordinator.request_body_unread("j", 100.1)
+    coordinator.request_body_unread("j", None)
+    coordinator.request_body_received("j", 100.4)
+    ((now, status),) = run_timers_until(coordinator, 110.0)
+    assert now == pytest.approx(answered_at) and status is FinalStatus.FAILED
+
+
+def test_streamed_request_whose_body_goes_on_is_answered_by_the_end_of_a_shutdown() -> None:
+    """Guards against a pause of reading that lifts the limit of a shutdown."""
+    coordinator = make_coordinator()
+    submit_request(coordinator, class_name="pay", body_streamed=True)
+    coordinator.limit_deadlines(103.0)
+    coordinator.request_body_unread("j", 100.1)
+    coordinator.request_body_unread("j", None)
+    assert [now for now, _ in run_timers_until(coordinator, 110.0)] == [103.0]
+
+
 def test_no_attempt_is_sent_to_a_draining_upstream() -> None:
     """Guards against sending on a connection that was established after the upstream started to drain."""
     coordinator = make_coordinator()
