net/upstream: keep a connection unused for 50 ms after a response

Cause: a connection was withheld for 5 ms after a response and then given out at once, the last used first. HTTP/1.1 names no request in a response, so that a later second response passed for the one to the next request, and the true one for that after it. A second 503 with Not-Started "proved" that an unsafe request had not run, and it was sent again.

Change: the period is 50 ms, and a state of the connection (QUIET), so that it costs no waiting: attempts open another connection meanwhile, and at a limit the connection that is quiet for longest is closed for it. Bytes on a connection without a call close it at once, are counted and logged with their delay; pending bytes at the end of the period close it too; a drain closes quiet connections at once. Related paths: health checks and long responses are released in the same way; a health check whose connection is closed right before its first byte ends as not connected, where it raised an error; idle time counts from the last response.

--- a/indigokeel/net/upstream/attempt_sender.py
+++ b/indigokeel/net/upstream/attempt_sender.py
@@ -85,7 +85,7 @@
     """An attempt in flight. It is the ``Call`` of its exchange, and receives the result of its waiter."""
 
     __slots__ = (
-        "_backoff", "_connection", "_exchange", "_head_after", "_head_before", "_idle_s", "_is_streaming",
+        "_backoff", "_connection", "_head_after", "_head_before", "_idle_s", "_is_streaming",
         "_outbound", "_pending", "_send_until", "_services", "_client_disconnected", "attempt", "on_ended",
     )  # fmt: skip
 
@@ -107,7 +107,6 @@
         self._send_until = send_until
         self._pending: UpstreamConnection | ConnectionWaiter | asyncio.Handle | None = None
         self._connection: UpstreamConnection | None = None
-        self._exchange: UpstreamExchange | None = None
         self._backoff: Backoff | None = None  # set after the first write that failed locally
         self._idle_s = _NEW_CONNECTION
         self._is_streaming = False
@@ -205,8 +204,7 @@
             was_reset = response.outcome is AttemptOutcome.BROKEN
             services.idle_resets.record(time.monotonic(), self._idle_s, was_reset)
         if is_reusable:
-            assert self._exchange is not None
-            services.releaser.release_later(connection, self._exchange)
+            services.releaser.release_later(connection)
         else:
             services.connections.release(connection, False)
         if not self._is_streaming:
@@ -226,7 +224,6 @@
         assert isinstance(exchange, UpstreamExchange)
         self._pending = None
         self._connection = connection
-        self._exchange = exchange
         self._idle_s = _NEW_CONNECTION
         self._client_disconnected = False
         self._head_before = head_before_timeout(self._outbound, exchange.host)
--- a/indigokeel/net/upstream/client.py
+++ b/indigokeel/net/upstream/client.py
@@ -60,7 +60,7 @@
             Telemetry(counters.add, lambda level, text: counters.log(text, level), time.monotonic),
             PoolOptions(options.seed, options.connect_timeout_s, options.keepalive_s * _MAX_IDLE_RATIO),
         )
-        releaser = ConnectionReleaser(self.connections, counters, coordinator.address)
+        releaser = ConnectionReleaser(self.connections, coordinator.address)
         self._health_checker = HealthChecker(
             self.connections, releaser, coordinator.address, options.connect_timeout_s
         )
--- a/indigokeel/net/upstream/connection.py
+++ b/indigokeel/net/upstream/connection.py
@@ -23,6 +23,7 @@
 from indigokeel.net.upstream.socket_writer import SocketWriter
 
 _UNKNOWN_ERRNO = -1  # for errors without an errno, such as a name that cannot be resolved
+_STATES_WITHOUT_CALL = (ConnectionState.IDLE, ConnectionState.QUIET)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,9 @@
     def on_handler_error(self, error: Exception) -> None:
         """Handle an unexpected exception in a connection's handler."""
 
+    def on_unexpected_data(self, connection: UpstreamConnection) -> None:
+        """Handle bytes that belong to no response; the connection is closed afterwards."""
+
 
 class UpstreamConnection:
     """A connection, which owns its socket. Only the connection table changes ``state``."""
@@ -192,8 +196,8 @@
     def on_data(self, data: bytes) -> None:
         """Pass received bytes to the handler (ReadHandler)."""
         handler = self.handler
-        if handler is None or self.state is ConnectionState.IDLE:
-            self._fail(None)
+        if handler is None or self.state in _STATES_WITHOUT_CALL:
+            self.reject_data()
             return
         try:
             handler.on_data(data)
@@ -201,6 +205,11 @@
             self._owner.on_handler_error(error)
             self._fail(None)
 
+    def reject_data(self) -> None:
+        """Close the connection because of bytes that belong to no response."""
+        self._owner.on_unexpected_data(self)
+        self._fail(None)
+
     def on_read_end(self, at_eof: bool) -> None:
         """Close the connection and notify the handler and the owner (ReadHandler)."""
         self._fail(None, at_eof)
--- a/indigokeel/net/upstream/connection_pool.py
+++ b/indigokeel/net/upstream/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -15,6 +16,8 @@
 from indigokeel.net.upstream.telemetry import Telemetry
 from indigokeel.net.upstream.waiter_queue import ConnectionWaiter, OnResult, WaiterQueue
 
+_STRAY_LOG_INTERVAL_S = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class PoolOptions:
@@ -44,6 +47,7 @@
         self._telemetry = telemetry
         self._max_idle_s = options.max_idle_s
         self._max_calls = options.max_calls
+        self._stray_logged_at = -math.inf
         self._queue = WaiterQueue()
         self._connector = Connector(
             self.table, self, telemetry, Random(options.seed), options.connect_timeout_s, self._on_resume
@@ -90,19 +94,47 @@
 
     def release(self, connection: UpstreamConnection, reusable: bool) -> None:
         """End a call on a connection, and close it unless it is ``reusable``."""
+        if self._end_call(connection, reusable):
+            self._dispatcher.offer(connection)
+
+    def release_quiet(self, connection: UpstreamConnection) -> bool:
+        """End a call, and keep the connection unused until ``end_quiet_period``. Return False if closed.
+
+        Meanwhile it is closed if bytes arrive on it, or if the limits require that for a connect.
+        """
+        if not self._end_call(connection, True):
+            return False
+        connection.idle_since = self._telemetry.clock()
+        self.table.move(connection, ConnectionState.QUIET)
+        self._dispatcher.connect_for_all_waiters()
+        return connection.state is ConnectionState.QUIET
+
+    def end_quiet_period(self, connection: UpstreamConnection, reusable: bool) -> None:
+        """Offer a quiet connection for reuse, or close it if it is not ``reusable`` or bytes have arrived."""
+        if connection.state is not ConnectionState.QUIET:
+            return
+        if reusable and connection.has_no_pending_events():
+            self._dispatcher.offer(connection)
+        else:
+            self.close(connection)
+
+    def _end_call(self, connection: UpstreamConnection, reusable: bool) -> bool:
+        """End a call, and close a connection that must not be reused. Return whether it is free for reuse."""
         connection.calls -= 1
         state = connection.state
         if state is ConnectionState.CLOSED:
-            return
+            return False
         if not reusable:
             self.close(connection)
-        elif connection.calls > 0:
+            return False
+        if connection.calls > 0:
             if state is ConnectionState.IN_USE:
                 self._dispatcher.share(connection)
-        elif state is ConnectionState.DRAINING or connection.has_unsent_data():
+            return False
+        if state is ConnectionState.DRAINING or connection.has_unsent_data():
             self.close(connection)
-        else:
-            self._dispatcher.offer(connection)
+            return False
+        return True
 
     def close(self, connection: UpstreamConnection) -> None:
         """Close a connection in any state; its handler is not notified."""
@@ -116,16 +148,22 @@
             self._dispatcher.connect_for_all_waiters()
 
     def drain_upstream(self, upstream: str) -> None:
-        """Close the idle connections to an upstream now, and those in use when their calls have ended."""
-        for connection in self.table.connections(upstream, ConnectionState.IDLE):
-            self.close(connection)
+        """Close the unused connections to an upstream now, and those in use when their calls have ended."""
+        for state in (ConnectionState.IDLE, ConnectionState.QUIET):
+            for connection in self.table.connections(upstream, state):
+                self.close(connection)
         for connection in self.table.connections(upstream, ConnectionState.IN_USE):
             self.table.move(connection, ConnectionState.DRAINING)
 
     def preconnect(self, upstream: str, address: Address) -> None:
         """Open a connection ahead of the first attempt, if the upstream has none and the limits allow it."""
-        states = (ConnectionState.IDLE, ConnectionState.OPENING, ConnectionState.IN_USE)
-        if any(self.table.count(upstream, state) for state in states):
+        usable = (
+            ConnectionState.IDLE,
+            ConnectionState.OPENING,
+            ConnectionState.IN_USE,
+            ConnectionState.QUIET,
+        )
+        if any(self.table.count(upstream, state) for state in usable):
             return
         if self.table.is_full() or self._connector.is_suspended(upstream):
             return
@@ -140,9 +178,9 @@
             self.close(oldest)
         self._connector.drop_expired(now)
 
-    def shed_idle(self) -> bool:
-        """Close the connection that has been idle for longest. Return False if none is idle."""
-        return self._connector.shed_idle()
+    def shed_unused(self) -> bool:
+        """Close the connection that is unused for longest, an idle one first. Return False without one."""
+        return self._connector.shed_unused()
 
     def idle_count(self) -> int:
         """Return the number of idle connections."""
@@ -186,6 +224,18 @@
         """Report an error in a connection's handler (ConnectionOwner)."""
         self._telemetry.report_handler_error(error)
 
+    def on_unexpected_data(self, connection: UpstreamConnection) -> None:
+        """Count and log bytes that belong to no response (ConnectionOwner)."""
+        self._telemetry.count("stray_answers")
+        now = self._telemetry.clock()
+        if now - self._stray_logged_at >= _STRAY_LOG_INTERVAL_S:
+            self._stray_logged_at = now
+            late_ms = 1000.0 * (now - connection.idle_since)
+            self._telemetry.log(
+                "warning",
+                f"{connection.upstream} sent bytes {late_ms:.1f} ms after its response; connection closed",
+            )
+
     def _on_resume(self, upstream: str | None) -> None:
         """Open connections for the waiters for which connects were suspended."""
         if upstream is None:
--- a/indigokeel/net/upstream/connection_releaser.py
+++ b/indigokeel/net/upstream/connection_releaser.py
@@ -1,4 +1,4 @@
-"""Returns connections to the pool; after a response, with a short delay."""
+"""Returns connections to the pool, which does not reuse one shortly after a response."""
 
 from __future__ import annotations
 
@@ -7,13 +7,12 @@
 from typing import Protocol
 
 from indigokeel.endpoints.endpoint_list import Address
-from indigokeel.metrics import Counters
 from indigokeel.net.upstream.connection import UpstreamConnection
-from indigokeel.net.upstream.upstream_exchange import UpstreamExchange
 
 # A faulty upstream may send a second response some milliseconds after the first. Nothing in it identifies its
-# request, so on a connection that is reused at once it would pass for the response to the next request.
-QUIET_PERIOD_S = 0.005
+# request, so on a connection that is reused by then it would pass for the response to the next request. The
+# period leaves time for delays of both processes.
+QUIET_PERIOD_S = 0.05
 
 
 class ReleasePool(Protocol):
@@ -22,16 +21,19 @@
     def release(self, connection: UpstreamConnection, reusable: bool) -> None:
         """End a call on a connection, and close it unless it is ``reusable``."""
 
+    def release_quiet(self, connection: UpstreamConnection) -> bool:
+        """End a call, and keep the connection unused until ``end_quiet_period``. Return False if closed."""
+
+    def end_quiet_period(self, connection: UpstreamConnection, reusable: bool) -> None:
+        """Offer a quiet connection for reuse, or close it if it is not ``reusable`` or bytes have arrived."""
+
 
 class ConnectionReleaser:
     """Decides whether connections are reusable, and releases them to the pool."""
 
-    def __init__(
-        self, pool: ReleasePool, counters: Counters, find_address: Callable[[str], Address | None]
-    ) -> None:
+    def __init__(self, pool: ReleasePool, find_address: Callable[[str], Address | None]) -> None:
         """``find_address`` returns the address of an upstream, or None if it accepts no requests."""
         self._pool = pool
-        self._counters = counters
         self._find_address = find_address
 
     def has_current_address(self, connection: UpstreamConnection) -> bool:
@@ -42,12 +44,10 @@
         """Release a connection on which nothing was written."""
         self._pool.release(connection, self.has_current_address(connection))
 
-    def release_later(self, connection: UpstreamConnection, exchange: UpstreamExchange) -> None:
-        """Release a connection after the quiet period, as not reusable if unexpected bytes have arrived."""
-        asyncio.get_running_loop().call_later(QUIET_PERIOD_S, self._release, connection, exchange)
+    def release_later(self, connection: UpstreamConnection) -> None:
+        """Release a connection after a response; it is not reused before the quiet period is over."""
+        if self._pool.release_quiet(connection):
+            asyncio.get_running_loop().call_later(QUIET_PERIOD_S, self._end_quiet_period, connection)
 
-    def _release(self, connection: UpstreamConnection, exchange: UpstreamExchange) -> None:
-        if exchange.has_unexpected_bytes:
-            self._counters.add("stray_answers")
-        reusable = not exchange.has_unexpected_bytes and self.has_current_address(connection)
-        self._pool.release(connection, reusable)
+    def _end_quiet_period(self, connection: UpstreamConnection) -> None:
+        self._pool.end_quiet_period(connection, self.has_current_address(connection))
--- a/indigokeel/net/upstream/connection_table.py
+++ b/indigokeel/net/upstream/connection_table.py
@@ -18,13 +18,18 @@
 
 
 class ConnectionState(Enum):
-    """The state of a connection. DRAINING: in use, and to be closed when its last call has ended."""
+    """The state of a connection.
+
+    QUIET: without a call and not reused yet, as a second response to the last request may still come.
+    DRAINING: in use, and to be closed when its last call has ended.
+    """
 
     __hash__ = object.__hash__  # faster than that of Enum; every exchange hashes states
 
     OPENING = "opening"
     IDLE = "idle"
     IN_USE = "in use"
+    QUIET = "quiet"
     DRAINING = "draining"
     CLOSED = "closed"
 
@@ -32,7 +37,13 @@
 _TRANSITIONS = {
     ConnectionState.OPENING: {ConnectionState.IDLE, ConnectionState.IN_USE, ConnectionState.CLOSED},
     ConnectionState.IDLE: {ConnectionState.IN_USE, ConnectionState.CLOSED},
-    ConnectionState.IN_USE: {ConnectionState.IDLE, ConnectionState.DRAINING, ConnectionState.CLOSED},
+    ConnectionState.IN_USE: {
+        ConnectionState.IDLE,
+        ConnectionState.QUIET,
+        ConnectionState.DRAINING,
+        ConnectionState.CLOSED,
+    },
+    ConnectionState.QUIET: {ConnectionState.IDLE, ConnectionState.IN_USE, ConnectionState.CLOSED},
     ConnectionState.DRAINING: {ConnectionState.CLOSED},
     ConnectionState.CLOSED: set[ConnectionState](),
 }
@@ -86,7 +97,9 @@
         self.limits = limits
         self._all: dict[EntryT, None] = {}
         self._by_upstream: dict[str, _UpstreamEntries[EntryT]] = {}
-        self._idle: OrderedDict[EntryT, None] = OrderedDict()  # to any upstream, longest idle first
+        # Without a call, to any upstream, the longest unused first.
+        self._idle: OrderedDict[EntryT, None] = OrderedDict()
+        self._quiet: OrderedDict[EntryT, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._all)
@@ -116,15 +129,17 @@
             raise ValueError(f"a connection cannot go from {entry.state.value} to {state.value}")
         entries = self._by_upstream[entry.upstream]
         del entries[entry.state][entry]
-        if entry.state is ConnectionState.IDLE:
-            del self._idle[entry]
+        unused = self._unused_in(entry.state)
+        if unused is not None:
+            del unused[entry]
         entry.state = state
         if state is ConnectionState.CLOSED:
             self._remove(entry, entries)
             return
         entries[state][entry] = None
-        if state is ConnectionState.IDLE:
-            self._idle[entry] = None
+        unused = self._unused_in(state)
+        if unused is not None:
+            unused[entry] = None
 
     def idle_count(self) -> int:
         """Return the number of idle connections."""
@@ -139,6 +154,17 @@
         """Return the connection to any upstream that has been idle for longest."""
         return next(iter(self._idle), None)
 
+    def longest_unused(self) -> EntryT | None:
+        """Return the idle connection to any upstream that is idle for longest, or else such a quiet one."""
+        return self.longest_idle() or next(iter(self._quiet), None)
+
+    def replaceable(self, upstream: str) -> EntryT | None:
+        """Return the quiet connection whose close allows to open another one to its upstream, if any."""
+        entries = self._by_upstream.get(upstream)
+        if entries is None or len(entries[ConnectionState.OPENING]) >= self.limits.opening:
+            return None
+        return next(iter(entries[ConnectionState.QUIET]), None)
+
     def oldest_opening(self, upstream: str) -> EntryT | None:
         """Return the connection to an upstream whose connect started first."""
         entries = self._by_upstream.get(upstream)
@@ -158,6 +184,12 @@
         """Return whether the limit on all connections is reached."""
         return len(self._all) >= self.limits.total
 
+    def _unused_in(self, state: ConnectionState) -> OrderedDict[EntryT, None] | None:
+        """Return the connections to any upstream in a state without calls, or None for another state."""
+        if state is ConnectionState.IDLE:
+            return self._idle
+        return self._quiet if state is ConnectionState.QUIET else None
+
     def _add(self, entry: EntryT, state: ConnectionState) -> None:
         if state is not ConnectionState.OPENING or entry.state is not ConnectionState.OPENING:
             raise ValueError(f"a connection that is not in the table cannot be {state.value}")
--- a/indigokeel/net/upstream/connector.py
+++ b/indigokeel/net/upstream/connector.py
@@ -60,7 +60,7 @@
 
     def open(self, upstream: str, address: Address) -> bool:
         """Start a connect. Return False if there is no capacity for it, or if it fails at once."""
-        if self._table.is_full() and not self.shed_idle():
+        if self._table.is_full() and not self.shed_unused():
             return False
         connection = self._connect(upstream, address)
         if connection is None:
@@ -71,13 +71,21 @@
         self._breakers.on_connect_started(upstream, address)
         return True
 
-    def shed_idle(self) -> bool:
-        """Close the connection that has been idle for longest. Return False if none is idle."""
-        if not self._close_longest_idle():
+    def shed_unused(self) -> bool:
+        """Close the connection that is unused for longest, an idle one first. Return False without one."""
+        if not self._close_longest_unused():
             return False
         self._telemetry.count("idle_shed")
         return True
 
+    def replace_quiet(self, upstream: str) -> bool:
+        """Close a quiet connection, so that another one may be opened. Return False if that is no use."""
+        quiet = self._table.replaceable(upstream)
+        if quiet is None:
+            return False
+        self._close_unused(quiet)
+        return True
+
     def remove(self, connection: UpstreamConnection) -> None:
         """Remove a connection from the table."""
         self._started_at.pop(connection, None)
@@ -126,10 +134,10 @@
             try:
                 return self._start(upstream, address)
             except LocalError as error:
-                if not error.is_resource_exhaustion or self._table.longest_idle() is None:
+                if not error.is_resource_exhaustion or self._table.longest_unused() is None:
                     raise
                 self._report_local_error(upstream, address, error, "closing an idle connection")
-                self._close_longest_idle()
+                self._close_longest_unused()
                 return self._start(upstream, address)
         except LocalError as error:
             self._suspend(upstream, address, error)
@@ -142,14 +150,17 @@
         connection.open(self.connect_timeout_s)
         return connection
 
-    def _close_longest_idle(self) -> bool:
-        oldest = self._table.longest_idle()
+    def _close_longest_unused(self) -> bool:
+        oldest = self._table.longest_unused()
         if oldest is None:
             return False
-        self.remove(oldest)
-        oldest.close()
+        self._close_unused(oldest)
         return True
 
+    def _close_unused(self, connection: UpstreamConnection) -> None:
+        self.remove(connection)
+        connection.close()
+
     def _suspend(self, upstream: str, address: Address, error: LocalError) -> None:
         """Suspend connects after a local error, to all upstreams if it would affect them all."""
         scope = None if error.is_resource_exhaustion else upstream
--- a/indigokeel/net/upstream/dispatcher.py
+++ b/indigokeel/net/upstream/dispatcher.py
@@ -63,7 +63,8 @@
         """Assign a connection without calls to the first waiters for its address, or make it idle."""
         waiter = self._queue.first_for(connection)
         if waiter is None:
-            connection.idle_since = self._telemetry.clock()
+            if connection.state is not ConnectionState.QUIET:
+                connection.idle_since = self._telemetry.clock()
             self._table.move(connection, ConnectionState.IDLE)
             if self._queue:
                 self.connect_for_all_waiters()  # may close it for waiters of other upstreams
@@ -95,7 +96,7 @@
     def connect_for_waiters(self, upstream: str) -> None:
         """Open connections for the waiters for an upstream, within the limits."""
         while (waiter := self._next_to_connect(upstream)) is not None:
-            if self._table.may_open(upstream) and self._connector.open(upstream, waiter.address):
+            if self._has_room(upstream) and self._connector.open(upstream, waiter.address):
                 continue
             if self._may_get_capacity(upstream) or not self._queue.remove(waiter):
                 return
@@ -109,11 +110,15 @@
         try:
             for upstream in self._queue.upstreams():
                 self.connect_for_waiters(upstream)
-                if self._table.is_full() and self._table.longest_idle() is None:
+                if self._table.is_full() and self._table.longest_unused() is None:
                     break
         finally:
             self._connecting_for_all = False
 
+    def _has_room(self, upstream: str) -> bool:
+        """Return whether the limits of an upstream allow another connection, if need be for a quiet one."""
+        return self._table.may_open(upstream) or self._connector.replace_quiet(upstream)
+
     def _next_to_connect(self, upstream: str) -> ConnectionWaiter | None:
         """Return the waiter to open a connection for, or None if a connect is not needed or not allowed."""
         opening = self._table.count(upstream, ConnectionState.OPENING)
--- a/indigokeel/net/upstream/health_check.py
+++ b/indigokeel/net/upstream/health_check.py
@@ -14,6 +14,7 @@
 from indigokeel.net.upstream.connection import UpstreamConnection
 from indigokeel.net.upstream.connection_pool import ConnectionPool
 from indigokeel.net.upstream.connection_releaser import ConnectionReleaser
+from indigokeel.net.upstream.connection_table import ConnectionState
 from indigokeel.net.upstream.upstream_exchange import UpstreamExchange
 from indigokeel.net.upstream.waiter_queue import ConnectFailure, ConnectionWaiter
 
@@ -36,7 +37,6 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.acquired: asyncio.Future[UpstreamConnection | ConnectFailure] = loop.create_future()
         self.connection: UpstreamConnection | None = None
-        self.exchange: UpstreamExchange | None = None
         self.is_reusable = False
         self._ended: asyncio.Future[tuple[UpstreamResponse, bool]] = loop.create_future()
         self._message = b""
@@ -51,7 +51,6 @@
         exchange = connection.handler
         assert isinstance(exchange, UpstreamExchange)
         self.connection = connection
-        self.exchange = exchange
         self._message = b"GET /_load HTTP/1.1\r\nHost: %s\r\n\r\n" % exchange.host
         exchange.send(self)
         response, is_reusable = await self._ended
@@ -108,6 +107,8 @@
                 result = await call.acquired
                 if isinstance(result, ConnectFailure):
                     return _result_of_failure(result)
+                if result.state is ConnectionState.CLOSED:  # between the end of the wait and now
+                    return HealthCheckResult(AttemptOutcome.NO_CONNECTION)
                 response = await call.run(result)
         except LocalError:
             return HealthCheckResult(AttemptOutcome.NOT_SENT)
@@ -128,8 +129,8 @@
 
     def _release(self, call: _HealthCheckCall, acquired: UpstreamConnection | ConnectionWaiter) -> None:
         connection = call.held_connection()
-        if connection is not None and call.exchange is not None and call.is_reusable:
-            self._releaser.release_later(connection, call.exchange)
+        if connection is not None and call.is_reusable:
+            self._releaser.release_later(connection)
         elif connection is not None:
             self._connections.close(connection)
         elif isinstance(acquired, ConnectionWaiter):
--- a/indigokeel/net/upstream/upstream_exchange.py
+++ b/indigokeel/net/upstream/upstream_exchange.py
@@ -32,12 +32,11 @@
     """The handler of a connection (ConnectionHandler), which also writes streamed request bodies (Sink)."""
 
     __slots__ = (
-        "_call", "_connection", "_parser", "_request_stream", "_stream", "has_unexpected_bytes", "host",
+        "_call", "_connection", "_parser", "_request_stream", "_stream", "host",
     )  # fmt: skip
 
     def __init__(self, connection: UpstreamConnection) -> None:
         self.host = http.format_host(connection.address)
-        self.has_unexpected_bytes = False  # belonging to no response, so the connection cannot be reused
         self._connection = connection
         self._call: Call | None = None
         self._parser: ResponseParser | None = None
@@ -85,7 +84,7 @@
         """Parse a part of the response (ConnectionHandler)."""
         parser = self._parser
         if parser is None:
-            self.has_unexpected_bytes = True
+            self._connection.reject_data()
             return
         try:
             parser.feed(data)
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -135,7 +135,7 @@
 
         Called when no connection can be accepted because descriptors or memory are exhausted.
         """
-        self._upstream_connections.shed_idle()
+        self._upstream_connections.shed_unused()
         evicted = self._clients.select_eviction_for_backlog(time.monotonic())
         if evicted is not None:
             self._counters.add("clients_evicted")
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from functools import partial
 
 import hypothesis.strategies as st
 import pytest
@@ -41,6 +42,7 @@
         self.harness = PoolHarness(calls=calls)
         self.waiters: list[ConnectionWaiter] = []
         self.connections: list[UpstreamConnection] = []
+        self.quiet: list[UpstreamConnection] = []
         self.asked = 0
 
     def _collect_connections(self) -> None:
@@ -75,6 +77,20 @@
             connection = self.connections.pop(index % len(self.connections))
             self.harness.run(lambda: self.harness.pool.release(connection, reusable))
 
+    @rule(index=st.integers(0, 20))
+    def release_quiet(self, index: int) -> None:
+        self._collect_connections()
+        if self.connections:
+            connection = self.connections.pop(index % len(self.connections))
+            if self.harness.run(lambda: self.harness.pool.release_quiet(connection)):
+                self.quiet.append(connection)
+
+    @rule(reusable=st.booleans())
+    def end_quiet_period(self, reusable: bool) -> None:
+        if self.quiet:
+            connection = self.quiet.pop(0)
+            self.harness.run(lambda: self.harness.pool.end_quiet_period(connection, reusable))
+
     @rule(index=st.integers(0, 20))
     def close(self, index: int) -> None:
         self._collect_connections()
@@ -282,6 +298,42 @@
     harness.check_table()
 
 
+def test_quiet_connection_is_not_reused_before_its_period_ends(harness: PoolHarness) -> None:
+    connection = harness.establish_connection()
+    assert harness.run(lambda: harness.pool.release_quiet(connection))
+    other = harness.establish_connection()
+    assert other is not connection
+    harness.run(lambda: harness.pool.end_quiet_period(connection, True))
+    assert harness.acquire() is connection
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_bytes_on_a_quiet_connection_close_it(harness: PoolHarness, is_read: bool) -> None:
+    """Guards against bytes that a late event loop has not read yet when the period ends."""
+    connection = harness.establish_connection()
+    harness.accept()
+    harness.run(lambda: harness.pool.release_quiet(connection))
+    harness.accepted[0].sendall(b"stray")
+    if is_read:
+        harness.run_until(lambda: connection.state is ConnectionState.CLOSED)
+        assert harness.counts["stray_answers"] == 1 and "sent bytes" in harness.logged[0][1]
+    harness.run(lambda: harness.pool.end_quiet_period(connection, True))
+    assert connection.state is ConnectionState.CLOSED and not len(harness.pool.table)
+
+
+def test_quiet_connections_are_closed_for_others_at_the_limits_and_in_a_drain() -> None:
+    """Guards against attempts that wait for the end of a quiet period while all descriptors are in use."""
+    harness = PoolHarness(ConnectionLimits(2, 2, 2))
+    connections = [harness.establish_connection() for _ in range(2)]
+    for connection in connections:
+        harness.run(partial(harness.pool.release_quiet, connection))
+    assert harness.establish_connection() not in connections
+    assert [connection.state for connection in connections] == [ConnectionState.CLOSED, ConnectionState.QUIET]
+    harness.run(lambda: harness.pool.drain_upstream("up"))
+    assert connections[1].state is ConnectionState.CLOSED
+    harness.close()
+
+
 def test_upstream_limit_applies_only_beside_other_upstreams() -> None:
     harness = PoolHarness(ConnectionLimits(8, 4, 8))
     taken = [harness.establish_connection() for _ in range(8)]
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
+from functools import partial
 
 import pytest
 import uvloop
@@ -105,6 +107,56 @@
     return responses, counters, client.open_connections
 
 
+class RepeatingUpstream:
+    """An upstream whose responses name the target, and come a second time some milliseconds later."""
+
+    def __init__(self, late_s: float) -> None:
+        self._late_s = late_s
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(0.02)
+                response = peers.ok(head.split(b" ")[1])
+                writer.write(response)
+                loop.call_later(self._late_s, writer.write, response)
+
+
+def _set_result(ended: asyncio.Future[UpstreamResponse], _: object, response: UpstreamResponse) -> None:
+    ended.set_result(response)
+
+
+async def send_attempts_in_turn(late_s: float, count: int) -> tuple[list[bytes], Counters]:
+    """Send each attempt shortly before the second response to the one before; return the bodies received."""
+    server = await asyncio.start_server(RepeatingUpstream(late_s).serve, "127.0.0.1", 0)
+    coordinator = make_coordinator(server.sockets[0].getsockname()[1])
+    counters = Counters("t")
+    client = UpstreamClient(coordinator, counters, UpstreamClientOptions(5.0, 30.0, 64))
+    bodies = []
+    for number in range(count):
+        ended: asyncio.Future[UpstreamResponse] = asyncio.get_running_loop().create_future()
+        attempt = coordinator.pick(time.monotonic(), Request(f"j{number}", "view", 60.0)).attempts[0]
+        outbound = OutboundRequest(b"GET", b"/%d" % number, b"%d" % number, None, [], False)
+        client.send_attempt(attempt, outbound, partial(_set_result, ended))
+        bodies.append(b"".join((await ended).body or []))
+        await asyncio.sleep(late_s - 0.003)
+    server.close()
+    return bodies, counters
+
+
+@pytest.mark.parametrize("late_s", [0.009, 0.02])
+def test_second_responses_some_milliseconds_late_reach_no_other_request(late_s: float) -> None:
+    """Guards against the response of another request, and against a retry of what has run.
+
+    The event loop of asyncio writes at once, so that its timers keep the order of the writes when it is late.
+    """
+    bodies, counters = asyncio.run(asyncio.wait_for(send_attempts_in_turn(late_s, 20), peers.TIMEOUT_S))
+    assert bodies == [b"/%d" % number for number in range(20)]
+    assert counters["stray_answers"] >= 18  # the last ones may still be on their way
+
+
 @pytest.mark.parametrize("stray", [peers.ok(b"first"), b"HTTP/1.1 20", b"\r\n", b""])
 def test_late_second_response_is_not_taken_for_that_of_the_next_attempt(
     monkeypatch: pytest.MonkeyPatch, stray: bytes
