net/upstream: shorten the quiet period of connections to 20 ms

20 ms still covers the longest delay that was seen (15.2 ms, for responses sent 2 to 6 ms late).

Ruled out: to have attempts wait for the end of the quiet period in place of opening another connection.

--- a/indigokeel/net/upstream/connection_releaser.py
+++ b/indigokeel/net/upstream/connection_releaser.py
@@ -12,7 +12,7 @@
 # A faulty upstream may send a second response some milliseconds after the first. Nothing in it identifies its
 # request, so on a connection that is reused by then it would pass for the response to the next request. The
 # period leaves time for delays of both processes.
-QUIET_PERIOD_S = 0.05
+QUIET_PERIOD_S = 0.02
 
 
 class ReleasePool(Protocol):
