--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -74,7 +74,7 @@
     asked = 0
 
     def shed_early(
-        self, session: ClientConnection, arrived: float, class_name: str, budget: float
+        self, connection: ClientConnection, arrived: float, class_name: str, budget: float
     ) -> float | None:
         self.asked += 1
         return 0.25 if class_name == "view" or budget > 1.0 else None
@@ -89,9 +89,9 @@
         return False
 
     def handle_request(
-        self, session: ClientConnection, arrived: float, request: Request, task: OutboundRequest
+        self, connection: ClientConnection, arrived: float, request: Request, outbound: OutboundRequest
     ) -> None:
-        session.send_final_response(
+        connection.send_final_response(
             FinalResponse(FinalStatus.SERVED, 0.0, UpstreamResponse(AttemptOutcome.OK, None, [b"done"]))
         )
 
@@ -101,11 +101,11 @@
 
     def client_disconnected(self, request_id: str) -> None: ...
 
-    def connection_opened(self, session: ClientConnection) -> None: ...
+    def connection_opened(self, connection: ClientConnection) -> None: ...
 
-    def connection_closing(self, session: ClientConnection) -> None: ...
+    def connection_closing(self, connection: ClientConnection) -> None: ...
 
-    def connection_closed(self, session: ClientConnection) -> None: ...
+    def connection_closed(self, connection: ClientConnection) -> None: ...
 
 
 _HEAD = b"Request-Id: 1\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: %d\r\n"
--- a/tests/test_state_folder.py
+++ b/tests/test_state_folder.py
@@ -191,7 +191,8 @@
     """Return how many of 40 requests go to an upstream."""
     count_before = len(upstream.received)
     for _ in range(40):
-        assert program.exchange(request())[0] == 200
+        status, _ = program.exchange(request())
+        assert status == 200, program.log.read_text()
     return len(upstream.received) - count_before
 
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -197,11 +197,11 @@
     checks: dict[int, int] = {}
     check_timeouts = ClientConnection.check_timeouts
 
-    def faulty(session: ClientConnection, now: float) -> None:
-        checks[session.fd] = checks.get(session.fd, 0) + 1
-        if session.fd == min(checks):
+    def faulty(connection: ClientConnection, now: float) -> None:
+        checks[connection.fd] = checks.get(connection.fd, 0) + 1
+        if connection.fd == min(checks):
             raise UnforeseenError
-        check_timeouts(session, now)
+        check_timeouts(connection, now)
 
     monkeypatch.setattr(ClientConnection, "check_timeouts", faulty)
 
