--- a/indigokeel/net/upstream/connection.py
+++ b/indigokeel/net/upstream/connection.py
@@ -18,12 +18,11 @@
 
 from indigokeel.net.errors import ErrorCategory, LocalError, SocketOperation, classify_errno, make_os_error
 from indigokeel.net.upstream.backoff import LocalRetryDelays
-from indigokeel.net.upstream.connection_table import ConnectionState
+from indigokeel.net.upstream.connection_table import UNUSED_STATES, ConnectionState
 from indigokeel.net.upstream.socket_reader import SocketReader
 from indigokeel.net.upstream.socket_writer import SocketWriter
 
 _UNKNOWN_ERRNO = -1  # for errors without an errno, such as a name that cannot be resolved
-_STATES_WITHOUT_CALL = (ConnectionState.IDLE, ConnectionState.QUIET)
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +195,7 @@
     def on_data(self, data: bytes) -> None:
         """Pass received bytes to the handler (ReadHandler)."""
         handler = self.handler
-        if handler is None or self.state in _STATES_WITHOUT_CALL:
+        if handler is None or self.state in UNUSED_STATES:
             self.reject_data()
             return
         try:
--- a/indigokeel/net/upstream/connection_pool.py
+++ b/indigokeel/net/upstream/connection_pool.py
@@ -9,7 +9,12 @@
 
 from indigokeel.endpoints.endpoint_list import Address
 from indigokeel.net.upstream.connection import ConnectionHandler, UpstreamConnection
-from indigokeel.net.upstream.connection_table import ConnectionLimits, ConnectionState, ConnectionTable
+from indigokeel.net.upstream.connection_table import (
+    UNUSED_STATES,
+    ConnectionLimits,
+    ConnectionState,
+    ConnectionTable,
+)
 from indigokeel.net.upstream.connector import Connector
 from indigokeel.net.upstream.dispatcher import ConnectionDispatcher
 from indigokeel.net.upstream.idle_resets import IdleResetEstimator
@@ -149,7 +154,7 @@
 
     def drain_upstream(self, upstream: str) -> None:
         """Close the unused connections to an upstream now, and those in use when their calls have ended."""
-        for state in (ConnectionState.IDLE, ConnectionState.QUIET):
+        for state in UNUSED_STATES:
             for connection in self.table.connections(upstream, state):
                 self.close(connection)
         for connection in self.table.connections(upstream, ConnectionState.IN_USE):
@@ -157,12 +162,7 @@
 
     def preconnect(self, upstream: str, address: Address) -> None:
         """Open a connection ahead of the first attempt, if the upstream has none and the limits allow it."""
-        usable = (
-            ConnectionState.IDLE,
-            ConnectionState.OPENING,
-            ConnectionState.IN_USE,
-            ConnectionState.QUIET,
-        )
+        usable = (*UNUSED_STATES, ConnectionState.OPENING, ConnectionState.IN_USE)
         if any(self.table.count(upstream, state) for state in usable):
             return
         if self.table.is_full() or self._connector.is_suspended(upstream):
--- a/indigokeel/net/upstream/connection_table.py
+++ b/indigokeel/net/upstream/connection_table.py
@@ -34,6 +34,8 @@
     CLOSED = "closed"
 
 
+UNUSED_STATES = (ConnectionState.IDLE, ConnectionState.QUIET)  # without a call
+
 _TRANSITIONS = {
     ConnectionState.OPENING: {ConnectionState.IDLE, ConnectionState.IN_USE, ConnectionState.CLOSED},
     ConnectionState.IDLE: {ConnectionState.IN_USE, ConnectionState.CLOSED},
@@ -97,9 +99,10 @@
         self.limits = limits
         self._all: dict[EntryT, None] = {}
         self._by_upstream: dict[str, _UpstreamEntries[EntryT]] = {}
-        # Without a call, to any upstream, the longest unused first.
-        self._idle: OrderedDict[EntryT, None] = OrderedDict()
-        self._quiet: OrderedDict[EntryT, None] = OrderedDict()
+        # To any upstream by state, the longest unused first.
+        self._unused: dict[ConnectionState, OrderedDict[EntryT, None]] = {
+            state: OrderedDict() for state in UNUSED_STATES
+        }
 
     def __len__(self) -> int:
         return len(self._all)
@@ -129,21 +132,19 @@
             raise ValueError(f"a connection cannot go from {entry.state.value} to {state.value}")
         entries = self._by_upstream[entry.upstream]
         del entries[entry.state][entry]
-        unused = self._unused_in(entry.state)
-        if unused is not None:
-            del unused[entry]
+        if entry.state in self._unused:
+            del self._unused[entry.state][entry]
         entry.state = state
         if state is ConnectionState.CLOSED:
             self._remove(entry, entries)
             return
         entries[state][entry] = None
-        unused = self._unused_in(state)
-        if unused is not None:
-            unused[entry] = None
+        if state in self._unused:
+            self._unused[state][entry] = None
 
     def idle_count(self) -> int:
         """Return the number of idle connections."""
-        return len(self._idle)
+        return len(self._unused[ConnectionState.IDLE])
 
     def most_recently_used(self, upstream: str) -> EntryT | None:
         """Return the idle connection to an upstream that was used most recently."""
@@ -152,11 +153,11 @@
 
     def longest_idle(self) -> EntryT | None:
         """Return the connection to any upstream that has been idle for longest."""
-        return next(iter(self._idle), None)
+        return next(iter(self._unused[ConnectionState.IDLE]), None)
 
     def longest_unused(self) -> EntryT | None:
         """Return the idle connection to any upstream that is idle for longest, or else such a quiet one."""
-        return self.longest_idle() or next(iter(self._quiet), None)
+        return self.longest_idle() or next(iter(self._unused[ConnectionState.QUIET]), None)
 
     def replaceable(self, upstream: str) -> EntryT | None:
         """Return the quiet connection whose close allows to open another one to its upstream, if any."""
@@ -184,12 +185,6 @@
         """Return whether the limit on all connections is reached."""
         return len(self._all) >= self.limits.total
 
-    def _unused_in(self, state: ConnectionState) -> OrderedDict[EntryT, None] | None:
-        """Return the connections to any upstream in a state without calls, or None for another state."""
-        if state is ConnectionState.IDLE:
-            return self._idle
-        return self._quiet if state is ConnectionState.QUIET else None
-
     def _add(self, entry: EntryT, state: ConnectionState) -> None:
         if state is not ConnectionState.OPENING or entry.state is not ConnectionState.OPENING:
             raise ValueError(f"a connection that is not in the table cannot be {state.value}")
