requests: start the time limit of a long body in one place

- request_body_unread and request_body_received did the same through three layers: request_body_sent takes the earliest time at which the last byte may have been sent.
- OpenRequests.open computed the end of the time limit again; it calls start_time_limit.
- ReadFlow repeated the input's is_discarding_body; the parser, which owns the state, answers both.
Nothing that the program does changes, and the tests keep their assertions.

--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -129,14 +129,14 @@
         unread_since = self._input.flow.unread_since()
         if unread_since != self._unread_since:
             self._unread_since = unread_since
-            self._handler.request_body_unread(self.request_id, unread_since)
+            self._handler.request_body_sent(self.request_id, unread_since)
 
     def on_stream_ended(self, request_stream: RequestStream, keep_alive: bool) -> None:
         """Handle the last byte of the streamed body of the request being served."""
         self._keep_alive = self._keep_alive and keep_alive
         request_stream.end()
         if self.request_id:
-            self._handler.request_body_received(self.request_id, self._input.pipeline.arrived_at)
+            self._handler.request_body_sent(self.request_id, self._input.pipeline.arrived_at)
         elif not self._writer.is_streaming() and not self._keep_alive:
             self._connection().on_finished()
 
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -172,7 +172,7 @@
 
     def _may_hold_end_of_message(self) -> bool:
         """Return whether input is waiting, and the socket buffers may hold all the rest of a message."""
-        if self._transport.is_closing() or self._is_discarding_body():
+        if self._transport.is_closing() or self._parser.is_discarding_body():
             return False
         client = self._transport.get_extra_info("socket")
         if not http.is_readable(client.fileno()):
@@ -181,10 +181,6 @@
         buffered_bytes = receive_buffer_bytes + _MAX_CLIENT_SEND_BUFFER_BYTES
         return self._parser.remaining_body_bytes() <= buffered_bytes
 
-    def _is_discarding_body(self) -> bool:
-        """Return whether the current message has its response, so that only what follows it matters."""
-        return self._parser.in_message and self._parser.already_responded
-
     def pause(self) -> None:
         """Pause reading."""
         if not self.paused_at and not self._transport.is_closing():
--- a/indigokeel/net/downstream/request_handler.py
+++ b/indigokeel/net/downstream/request_handler.py
@@ -60,15 +60,12 @@
         The response goes to ``ClientConnection.send_final_response``, perhaps before this returns.
         """
 
-    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
-        """Record since when the last byte of a streamed body may have been waiting to be read.
+    def request_body_sent(self, request_id: str, sent_at: float | None) -> None:
+        """Record the earliest time at which the client may have sent the last byte of a streamed body.
 
-        ``unread_since`` is in monotonic seconds, or None if the client has certainly not sent that byte yet.
+        ``sent_at`` is in monotonic seconds, or None if the client has certainly not sent that byte yet.
         """
 
-    def request_body_received(self, request_id: str, arrived_at: float) -> None:
-        """Record that the last byte of a streamed body, which may have arrived then, has been read."""
-
     def client_disconnected(self, request_id: str) -> None:
         """Cancel a request whose client has disconnected."""
 
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -52,7 +52,7 @@
 
     def is_discarding_body(self) -> bool:
         """Return whether the rest of a request that has its response is being read and discarded."""
-        return self.parser.in_message and self.parser.already_responded
+        return self.parser.is_discarding_body()
 
     def is_body_awaited(self) -> bool:
         """Return whether a request's head was received and nothing of its body."""
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -125,6 +125,10 @@
             return 0
         return -1 if self._content_length < 0 else max(self._content_length - self.body_bytes, 0)
 
+    def is_discarding_body(self) -> bool:
+        """Return whether the rest of a request that has its response is being read and discarded."""
+        return self.in_message and self.already_responded
+
     # --- httptools callbacks --------------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -68,14 +68,9 @@
             request.budget = min(request.budget, time_left_s)
         self._executor.execute(self._coordinator.pick(arrived, request))
 
-    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
-        """Start or suspend the time limit of a request whose streamed body may be waiting unread."""
-        self._coordinator.request_body_unread(request_id, unread_since)
-        self._executor.timer.bring_forward()
-
-    def request_body_received(self, request_id: str, arrived_at: float) -> None:
-        """Start the time limit of a request whose streamed body has been read."""
-        self._coordinator.request_body_received(request_id, arrived_at)
+    def request_body_sent(self, request_id: str, sent_at: float | None) -> None:
+        """Start or suspend the time limit of a request with a streamed body."""
+        self._coordinator.request_body_sent(request_id, sent_at)
         self._executor.timer.bring_forward()
 
     def shed_early(
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -111,24 +111,21 @@
         self._driver.deliver(now, event, effects, open_request)
         return effects
 
-    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
-        """Start the time limit of a request, as the last byte of its streamed body may be waiting unread.
+    def request_body_sent(self, request_id: str, sent_at: float | None) -> None:
+        """Start the time limit of a request at ``sent_at``, or suspend it.
 
-        It starts at ``unread_since``. None suspends it: the client has certainly not sent that byte yet.
+        That is the earliest time at which the client may have sent the last byte of the streamed body, which
+        may still be waiting unread; None if it has certainly not sent that byte yet.
         """
         request = self._requests.get(request_id)
         if request is None or request.answered:
             return
-        if unread_since is None:
+        if sent_at is None:
             request.suspend_time_limit()
             return
-        request.start_time_limit(unread_since)
+        request.start_time_limit(sent_at)
         self._driver.schedule_expiry(request)
 
-    def request_body_received(self, request_id: str, arrived_at: float) -> None:
-        """Start the time limit of a request with a streamed body, whose last byte may have arrived then."""
-        self.request_body_unread(request_id, arrived_at)
-
     def client_disconnected(self, now: float, request_id: str) -> Effects:
         """End a request whose client has disconnected; it needs no answer any more."""
         effects = Effects()
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -92,7 +92,10 @@
         return attempt
 
     def start_time_limit(self, started_at: float) -> None:
-        """Let the time limit start when the last byte of a streamed body arrived or may have arrived."""
+        """Let the time limit run from a clock time.
+
+        That is the arrival, or the time at which the last byte of a streamed body may have been sent.
+        """
         self.respond_by = min(started_at + self.time_limit, self.answer_by)
         for attempt in self.attempts:
             attempt.started_at = max(attempt.started_at, started_at)
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -75,14 +75,11 @@
         if request.id in self._requests:
             raise ValueError(f"a request of this id is open: {request.id}")
         time_limit = self._time_limit(request)
-        started_at = request.body_unread_since if request.body_streamed else now
         open_request = OpenRequest(
             id=request.id,
             class_name=request.class_name,
             received_at=now,
-            respond_by=self._answer_by
-            if started_at is None
-            else min(started_at + time_limit, self._answer_by),
+            respond_by=self._answer_by,
             answer_by=self._answer_by,
             idempotency_window=self._idempotency_windows.get(request.class_name, math.inf),
             max_attempts=self._limits.max_attempts,
@@ -91,6 +88,9 @@
             budget_limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.queued_s > _MIN_DELAY_BY_CLIENT_S,
         )
+        started_at = request.body_unread_since if request.body_streamed else now
+        if started_at is not None:
+            open_request.start_time_limit(started_at)
         self._requests[request.id] = open_request
         self.unanswered += 1
         return open_request
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -358,13 +358,12 @@
 
 
 class StreamHandler(Handler):
-    """Takes the streamed body of a request, and records since when the rest of it may be unread."""
+    """Takes the streamed body of a request, and records when the client may have sent its last byte."""
 
     def __init__(self) -> None:
         super().__init__(slow=True)
         self.stream: RequestStream | None = None
-        self.unread_since: list[float | None] = []
-        self.arrived_at = 0.0
+        self.sent_at: list[float | None] = []
 
     def handle_request(
         self, connection: ClientConnection, arrived: float, request: Request, outbound: OutboundRequest
@@ -372,11 +371,8 @@
         super().handle_request(connection, arrived, request, outbound)
         self.stream = outbound.request_stream
 
-    def request_body_unread(self, request_id: str, unread_since: float | None) -> None:
-        self.unread_since.append(unread_since)
-
-    def request_body_received(self, request_id: str, arrived_at: float) -> None:
-        self.arrived_at = arrived_at
+    def request_body_sent(self, request_id: str, sent_at: float | None) -> None:
+        self.sent_at.append(sent_at)
 
 
 class AllTakingSink:
@@ -399,21 +395,21 @@
         raw = request("pay", b"z" * 3_000_000)
         began = time.monotonic()
         sending = asyncio.create_task(loop.sock_sendall(client_socket, raw[:2_000_000]))
-        while not handler.unread_since:  # nobody takes the body, so that reading pauses
+        while not handler.sent_at:  # nobody takes the body, so that reading pauses
             await asyncio.sleep(0.001)
         assert handler.stream is not None
         handler.stream.attach(AllTakingSink())
         await sending
-        while handler.unread_since[-1] is not None:
+        while handler.sent_at[-1] is not None:
             await asyncio.sleep(0.001)
-        reported = list(handler.unread_since)
+        reported = list(handler.sent_at)
         resumed = time.monotonic()
         await loop.sock_sendall(client_socket, raw[2_000_000:])
-        while not handler.arrived_at:
+        while (arrived_at := handler.sent_at[-1]) is None:
             await asyncio.sleep(0.001)
         client_socket.close()
         assert reported[0] is not None and began < reported[0] < resumed
-        return reported, resumed, handler.arrived_at
+        return reported, resumed, arrived_at
 
     reported, resumed, arrived_at = asyncio.run(asyncio.wait_for(run_scenario(), TIMEOUT_S))
     assert reported[1:] == [None] and arrived_at >= resumed
--- a/tests/unit/requests/test_coordinator.py
+++ b/tests/unit/requests/test_coordinator.py
@@ -105,11 +105,11 @@
     coordinator = make_coordinator()
     attempt, _ = submit_request(coordinator, class_name="pay", body_streamed=True)
     assert coordinator.may_send_attempt(100.0, attempt)
-    coordinator.request_body_unread("j", 100.2)
+    coordinator.request_body_sent("j", 100.2)
     assert run_timers_until(coordinator, 101.0) == []
-    coordinator.request_body_unread("j", None)  # all that the client has sent was read, and its body goes on
+    coordinator.request_body_sent("j", None)  # all that the client has sent was read, and its body goes on
     assert run_timers_until(coordinator, 110.0) == []
-    coordinator.request_body_unread("j", 110.0)
+    coordinator.request_body_sent("j", 110.0)
     assert run_timers_until(coordinator, 120.0) == [(111.0 - RESPONSE_MARGIN_S, FinalStatus.FAILED)]
     assert not coordinator.is_open("j")
 
@@ -135,9 +135,9 @@
     attempt, _ = submit_request(coordinator, class_name="pay", body_streamed=True)
     coordinator.limit_deadlines(answer_by)
     assert coordinator.may_send_attempt(100.0, attempt)
-    coordinator.request_body_unread("j", 100.1)
-    coordinator.request_body_unread("j", None)
-    coordinator.request_body_received("j", 100.4)
+    coordinator.request_body_sent("j", 100.1)
+    coordinator.request_body_sent("j", None)
+    coordinator.request_body_sent("j", 100.4)
     ((now, status),) = run_timers_until(coordinator, 110.0)
     assert now == pytest.approx(answered_at) and status is FinalStatus.FAILED
 
@@ -147,8 +147,8 @@
     coordinator = make_coordinator()
     submit_request(coordinator, class_name="pay", body_streamed=True)
     coordinator.limit_deadlines(103.0)
-    coordinator.request_body_unread("j", 100.1)
-    coordinator.request_body_unread("j", None)
+    coordinator.request_body_sent("j", 100.1)
+    coordinator.request_body_sent("j", None)
     assert [now for now, _ in run_timers_until(coordinator, 110.0)] == [103.0]
 
 
