--- a/review/peers2/rig.py
+++ b/review/peers2/rig.py
@@ -49,6 +49,11 @@
             self._file.flush()
 
 
+def silent(text: str) -> None:
+    """Take the place of a record where every line would be too much."""
+    del text
+
+
 class Message:
     """A request or a response that was read whole."""
 
@@ -150,7 +155,10 @@
     """
 
     def __init__(
-        self, name: str, record: Record, answer: Callable[[PortServer, Message, socket.socket], bool]
+        self,
+        name: str,
+        record: Callable[[str], None],
+        answer: Callable[[PortServer, Message, socket.socket], bool],
     ) -> None:
         self.name = name
         self.record = record
@@ -301,8 +309,9 @@
         discovery: Discovery,
         known: dict[str, Any],
         settings: dict[str, Any],
-        memory_mb: int = 192,
+        limits: tuple[int, int] = (192, 1024),
     ) -> None:
+        """``limits`` are those on memory in MB and on descriptors."""
         self.name = name
         self._rig = rig
         self.config = rig.folder / f"{name}.json"
@@ -313,7 +322,7 @@
             "listen": f"127.0.0.1:{self.address[1]}",
             "discovery": discovery.address,
             "seed": secrets.token_hex(8),
-            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": limits[0], "sockets": limits[1]},
             "known": known,
             "settings": settings,
         }
@@ -371,6 +380,30 @@
             return int(text.partition(field + ":")[2].split()[0])
         return 0
 
+    def watch_memory(self, limit_mb: int) -> threading.Event:
+        """Kill the sidecar if it uses more memory than it may, as the platform does; return whether it has.
+
+        The limit is read as MiB, which is the larger reading.
+        """
+        killed = threading.Event()
+
+        def watch() -> None:
+            peak_kb = 0
+            while self.process.poll() is None:
+                used_kb = self.memory_kb("VmRSS")
+                if used_kb > peak_kb + 4096:
+                    peak_kb = used_kb
+                    self._rig.record(f"{self.name} uses {used_kb / 1024:.0f} MB of {limit_mb} MB")
+                if used_kb > limit_mb * 1024:
+                    killed.set()
+                    self._rig.record(f"{self.name} is killed: it uses {used_kb / 1024:.1f} MB")
+                    self.process.send_signal(signal.SIGKILL)
+                    return
+                time.sleep(0.02)
+
+        threading.Thread(target=watch, daemon=True).start()
+        return killed
+
     def log_text(self) -> str:
         """Return what the sidecar has logged."""
         return (self._rig.folder / f"{self.name}.log").read_text(errors="replace")
