--- a/review/peers2/rig.py
+++ b/review/peers2/rig.py
@@ -112,23 +112,31 @@
     """A server on a free port of 127.0.0.1, with one thread for each connection."""
 
     def __init__(self) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.port: int = self._listener.getsockname()[1]
+        listener = self.listen()
+        self.port: int = listener.getsockname()[1]
         self.connections: set[socket.socket] = set()
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self.accept_all, args=(listener,), daemon=True).start()
 
     @property
     def address(self) -> str:
         """The address as ``host:port``."""
         return f"127.0.0.1:{self.port}"
 
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                conn, _ = self._listener.accept()
-                conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.connections.add(conn)
-                threading.Thread(target=self._run, args=(conn,), daemon=True).start()
+    def listen(self) -> socket.socket:
+        """Return the listener."""
+        return socket.create_server(("127.0.0.1", 0), backlog=256)
+
+    def accept_all(self, listener: socket.socket) -> None:
+        """Accept connections, in a thread of its own."""
+        while True:
+            self.accepted(listener.accept()[0])
+
+    def accepted(self, conn: socket.socket) -> None:
+        """Serve a new connection in a thread of its own."""
+        conn.settimeout(None)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connections.add(conn)
+        threading.Thread(target=self._run, args=(conn,), daemon=True).start()
 
     def _run(self, conn: socket.socket) -> None:
         try:
