--- a/review/peers2/rig.py
+++ b/review/peers2/rig.py
@@ -470,10 +470,11 @@
     rig: Rig | None = None
     result = NOT_RUN
 
-    def on_alarm(*_: object) -> None:
-        raise CannotRunError("the case took too long")
+    def on_signal(number: int, _: object) -> None:
+        raise CannotRunError(f"ended by signal {number} (14: the case took too long)")
 
-    signal.signal(signal.SIGALRM, on_alarm)
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
     signal.setitimer(signal.ITIMER_REAL, MAX_RUN_S)
     try:
         rig = Rig(case_file)
@@ -484,6 +485,8 @@
             rig.record(f"could not run: {error}")
     finally:
         signal.setitimer(signal.ITIMER_REAL, 0.0)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
         if rig is not None:
             rig.record(f"result {result}: " + ("rule held", "RULE BROKEN", "could not run")[result])
             rig.close()
