--- a/review/peers2/rig.py
+++ b/review/peers2/rig.py
@@ -19,12 +19,13 @@
 import threading
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, BinaryIO
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+RESULTS = ("rule held", "RULE BROKEN", "could not run")
 MAX_RUN_S = 112.0  # a case that takes longer could not run
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -346,10 +347,9 @@
             "BALANCER_CONFIG": str(self.config),
         }
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        self.log = (rig.folder / f"{name}.log").open("wb")
-        self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=self.log, stderr=self.log
-        )
+        with (rig.folder / f"{name}.log").open("wb") as log, SIGNALS.held():
+            self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
+            rig.processes.append(self.process)
         rig.sidecars.append(self)
         rig.record(f"{name} is started")
 
@@ -448,48 +448,77 @@
     def __init__(self, case_file: str) -> None:
         if not (ROOT / ".venv/bin/python").exists():
             raise CannotRunError("the build of the deploy file has not been run")
-        self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.record = Record(Path(case_file).resolve().parent / "record.txt")
+        self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.record("with the disruption" if TROUBLE else "without the disruption (TROUBLE=0)")
         self.sidecars: list[Sidecar] = []
-
-    def close(self) -> None:
-        """End all programs and remove the folder."""
-        for sidecar in self.sidecars:
-            if sidecar.process.poll() is None:
-                sidecar.process.send_signal(signal.SIGKILL)
-            sidecar.process.wait()
-            for line in sidecar.log_text().splitlines()[-40:]:
-                self.record(f"{sidecar.name} logged: {line[:300]}")
-            sidecar.log.close()
+        self.processes: list[subprocess.Popen[bytes]] = []
+
+    def close(self, result: int) -> None:
+        """End all programs, then complete the record and remove the folder."""
+        for process in self.processes:
+            with contextlib.suppress(OSError):
+                process.send_signal(signal.SIGKILL)
+            process.wait()
+        with contextlib.suppress(OSError):
+            self.record(f"result {result}: {RESULTS[result]}")
+            for sidecar in self.sidecars:
+                for line in sidecar.log_text().splitlines()[-40:]:
+                    self.record(f"{sidecar.name} logged: {line[:300]}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Signals:
+    """Turns a signal into an exception, but not while a program is being started."""
+
+    def __init__(self) -> None:
+        self._is_held = False
+        self._pending = 0
+        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self._handle)
+        signal.setitimer(signal.ITIMER_REAL, MAX_RUN_S)
+
+    def _handle(self, number: int, _: object) -> None:
+        if self._is_held:
+            self._pending = number
+        else:
+            raise CannotRunError(f"ended by signal {number} (14: the case took too long)")
+
+    @contextlib.contextmanager
+    def held(self) -> Iterator[None]:
+        """Hold signals back until the end of the block."""
+        self._is_held = True
+        try:
+            yield
+        finally:
+            self._is_held = False
+        if self._pending:
+            self._handle(self._pending, None)
+
+    @staticmethod
+    def ignore() -> None:
+        """Ignore signals from now on."""
+        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+
+
+SIGNALS = Signals()
+
+
 def run_case(case_file: str, case: Callable[[Rig], int]) -> None:
     """Run a case and exit with its result: 0 if the rule held, 1 if it was broken, 2 if it could not run."""
     rig: Rig | None = None
     result = NOT_RUN
-
-    def on_signal(number: int, _: object) -> None:
-        raise CannotRunError(f"ended by signal {number} (14: the case took too long)")
-
-    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
-    signal.setitimer(signal.ITIMER_REAL, MAX_RUN_S)
     try:
-        rig = Rig(case_file)
+        with SIGNALS.held():
+            rig = Rig(case_file)
         result = case(rig)
-    except (CannotRunError, OSError, AssertionError) as error:
-        print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
-        if rig is not None:
-            rig.record(f"could not run: {error}")
-    finally:
-        signal.setitimer(signal.ITIMER_REAL, 0.0)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, signal.SIG_IGN)
+    finally:  # an exception ends here too: what went wrong in the test says nothing about the rule
+        SIGNALS.ignore()
+        error = sys.exc_info()[1]
+        if error is not None:
+            print(f"{type(error).__name__}: {error}", file=sys.stderr)
         if rig is not None:
-            rig.record(f"result {result}: " + ("rule held", "RULE BROKEN", "could not run")[result])
-            rig.close()
-    print(("rule held", "rule broken", "could not run")[result])
-    sys.stdout.flush()
-    os._exit(result)
+            rig.close(result)
+        print(RESULTS[result], flush=True)
+        os._exit(result)
