Limit the bytes of a message that are no body, wherever they stand

Cause: the limit on heads ended with the head and the limit on bodies counts bodies, so nothing counted chunk extensions and trailer sections. ResponseParser stored trailer fields, and httptools keeps an incomplete field.

Ruled out: the body (4 bytes), the kept tail (5 bytes), interim responses (16 at most).

Change: net/framing_limit.py counts the bytes received without a byte of a body, for the three parsers; over 16 KiB the message is invalid. As it counts bytes and not fields it also covers what httptools holds. The response parser stores only the fields it knows; the request parser none of a trailer section. The head of a response of discovery may now come in any number of reads.

--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -11,6 +11,7 @@
 from indigokeel.endpoints.endpoint_list import EndpointList, EndpointListError, NotJSONError, decode
 from indigokeel.metrics import Counters
 from indigokeel.net import http
+from indigokeel.net.framing_limit import FramingLimit
 
 _PATH = b"/catalog/members"
 _CONNECT_TIMEOUT_S = 2.0
@@ -214,6 +215,7 @@
     def __init__(self, reader: asyncio.StreamReader) -> None:
         self._reader = reader
         self._parser = httptools.HttpResponseParser(self)
+        self._framing_limit = FramingLimit()
         self._unread = b""  # bytes of the body that were not decoded yet
         self._is_complete = False
         self._is_framed = False  # the head states where the body ends
@@ -238,18 +240,25 @@
     async def _read(self) -> bool:
         """Read once; return False at the end of the stream."""
         data = await self._reader.read(_READ_BYTES)
+        unread_bytes = len(self._unread)
         if data:
             self._parser.feed_data(data)
+            self._check_framing(len(data), len(self._unread) > unread_bytes)
         elif self._is_framed and not self._is_complete:
             raise EndpointListError("connection closed before the end of the response")
         return bool(data)
 
+    def _check_framing(self, size: int, has_body: bool) -> None:
+        """Count received bytes; raise EndpointListError if too many have arrived without one of the body."""
+        if has_body:
+            self._framing_limit.restart()
+        elif self._framing_limit.is_exceeded_by(size):
+            raise EndpointListError("response head, chunk header or trailer section too large")
+
     async def read_head(self) -> None:
         """Read until the head of the final response is complete."""
-        reads = 0
         while self.status < 200:
-            reads += 1
-            if reads > _MAX_MESSAGE_BYTES // _READ_BYTES or not await self._read():
+            if not await self._read():
                 raise EndpointListError("no complete response head")
 
     async def lists(self) -> AsyncIterator[EndpointList]:
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -14,6 +14,7 @@
 from indigokeel.net import http
 from indigokeel.net.downstream.received_request import ReceivedRequest
 from indigokeel.net.downstream.request_decoder import read_request
+from indigokeel.net.framing_limit import FramingLimit
 from indigokeel.net.http import RequestError
 from indigokeel.net.streams import RequestStream, RequestStreamSource
 
@@ -54,8 +55,8 @@
 
     __slots__ = (
         "_content_length",
+        "_framing_limit",
         "_handler",
-        "_head_bytes",
         "_headers",
         "_parser",
         "_received",
@@ -76,7 +77,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
-        self._head_bytes = 0
+        self._framing_limit = FramingLimit()
         self._content_length = -1  # -1: a chunked body, or none
         self._received: ReceivedRequest | None = None
         self.messages_parsed = 0
@@ -93,20 +94,17 @@
         """
         assert self._parser is not None
         parsed_before = self.messages_parsed
+        body_bytes_before = self.body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             raise (error.__context__ or error) from None
         except httptools.HttpParserError as error:
             raise RequestError(400, str(error)) from None
-        if self.in_head and self.messages_parsed == parsed_before:
-            self._count_head_bytes(len(data))
-
-    def _count_head_bytes(self, size: int) -> None:
-        """Enforce the size limit on a head that arrives in many small reads."""
-        self._head_bytes += size
-        if self._head_bytes > http.MAX_HEAD:
-            raise RequestError(431, "the head is too large")
+        if self.messages_parsed > parsed_before or self.body_bytes != body_bytes_before:
+            self._framing_limit.restart()
+        elif self.in_message and self._framing_limit.is_exceeded_by(len(data)):
+            raise RequestError(431, "the head, a chunk header or the trailer section is too large")
 
     def stop(self) -> None:
         """Release the httptools parser.
@@ -138,7 +136,6 @@
         self._target = b""
         self._headers = {}
         self._received = None
-        self._head_bytes = 0
         self.body_bytes = 0
         self.already_responded = False
 
@@ -147,7 +144,12 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header; the first one of a name counts. Raises RequestError if the head is too large."""
+        """Record a header; the first one of a name counts. Raises RequestError if the head is too large.
+
+        The fields of a trailer section are ignored.
+        """
+        if not self.in_head:
+            return
         if len(name) + len(value) > http.MAX_HEAD or len(self._headers) > _MAX_HEADERS:
             raise RequestError(431, "the head is too large")
         # llhttp keeps trailing whitespace that arrives in a later read than the value.
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -6,12 +6,17 @@
 
 from indigokeel.balancing.events import AttemptOutcome
 from indigokeel.net import http
+from indigokeel.net.framing_limit import FramingLimit
 from indigokeel.net.messages import UpstreamResponse
 
 _MAX_INTERIM_RESPONSES = 16  # with status 1xx, before the final response
 _STREAM_THRESHOLD_BYTES = 16 * 1024  # a body of unknown length is streamed once more than this has arrived
 _END_OF_HEAD = b"\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
+# All others are ignored. Those of a trailer section count like those of the head.
+_KNOWN_FIELDS = frozenset(
+    (b"connection", b"content-length", b"not-started", b"server-load", b"transfer-encoding")
+)
 
 
 class InvalidResponseError(Exception):
@@ -26,13 +31,14 @@
     """
 
     __slots__ = (
-        "_body_bytes", "_body_start", "_ends_at_eof", "_head", "_interim_responses", "_keeps_alive",
-        "_parser", "_received_bytes", "_tail", "body", "chunked", "complete", "headers", "is_reusable",
-        "length", "status",
+        "_body_bytes", "_body_start", "_ends_at_eof", "_framing_limit", "_head", "_interim_responses",
+        "_keeps_alive", "_parser", "_received_bytes", "_tail", "body", "chunked", "complete", "headers",
+        "is_reusable", "length", "status",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._framing_limit = FramingLimit()
         self._interim_responses = 0
         self._received_bytes = 0
         self._body_bytes = 0
@@ -54,6 +60,7 @@
         self._received_bytes += len(data)
         if self._body_start < 0:
             self._head += data
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -68,12 +75,18 @@
             self._tail = (self._tail + data[-len(_LAST_CHUNK) :])[-len(_LAST_CHUNK) :]
         if self.complete:
             self.is_reusable = self._keeps_alive and self._ends_with_response()
+        elif self._body_bytes > body_bytes:
+            self._framing_limit.restart()
+        elif self._framing_limit.is_exceeded_by(len(data)):
+            raise InvalidResponseError(
+                "the response head, a chunk header or the trailer section is too large"
+            )
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; raises InvalidResponseError if one that gives the length is repeated."""
-        if self.complete:
-            return
+        """Store a known header; raises InvalidResponseError if one that gives the length is repeated."""
         name = name.lower()
+        if self.complete or name not in _KNOWN_FIELDS:
+            return
         if name in (b"content-length", b"transfer-encoding") and name in self.headers:
             raise InvalidResponseError("repeated Content-Length or Transfer-Encoding header")
         # llhttp does not recognize a transfer coding that is followed by a tab.
@@ -138,15 +151,13 @@
         return UpstreamResponse(AttemptOutcome.ERROR, load)
 
     def _find_body_start(self) -> None:
-        """Locate the body after the final head; raises InvalidResponseError if the head is too large."""
+        """Locate the body if the final head is complete."""
         if self.status >= 200:
             start = 0
             for _ in range(self._interim_responses + 1):
                 start = self._head.find(_END_OF_HEAD, start) + len(_END_OF_HEAD)
             self._body_start = start
             self._head = b""
-        elif len(self._head) > http.MAX_HEAD:
-            raise InvalidResponseError("the response head is too large")
 
     def _ends_with_response(self) -> bool:
         """Return whether the last byte received is the last byte of the response."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -350,8 +350,17 @@
 
 
 def rss_kb(pid: int) -> int:
+    return _memory_kb(pid, "VmRSS")
+
+
+def peak_rss_kb(pid: int) -> int:
+    """Return the largest resident memory that the process has had so far, in kB."""
+    return _memory_kb(pid, "VmHWM")
+
+
+def _memory_kb(pid: int, figure: str) -> int:
     status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.partition("VmRSS:")[2].split()[0])
+    return int(status.partition(f"{figure}:")[2].split()[0])
 
 
 def read_response(file: Any) -> tuple[int, Message]:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import socket
@@ -26,6 +27,7 @@
     entry,
     make_endpoint_list,
     ok,
+    peak_rss_kb,
     program_rss_kb,
     read_message,
     read_response,
@@ -36,6 +38,7 @@
 )
 
 LONG_BODY = os.urandom(1 << 20)
+OPEN_CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
 LONG_UPLOAD_BYTES = 32 << 20  # more than the sockets on the way to an upstream hold
 
 
@@ -104,6 +107,53 @@
         assert max_rss - before < 4096 and program_rss_kb(program) - before < 4096  # kB
 
 
+ENDLESS_TRAILERS = {
+    "fields": [b"x-%x: 1\r\n" % number for number in range(200_000)],
+    "one": [b"x" * 65536] * 800,
+}
+MAX_GROWTH_KB = 8 * 1024
+
+
+def send_until_closed(conn: socket.socket, start: bytes, rest: list[bytes]) -> None:
+    """Send a message without end, until the other side closes the connection or all was sent."""
+    with contextlib.suppress(OSError):
+        conn.sendall(start)
+        for at in range(0, len(rest), 1000):
+            for _ in range(20):
+                conn.sendall(b"".join(rest[at : at + 1000]))
+
+
+@pytest.mark.parametrize("rest", ENDLESS_TRAILERS.values(), ids=ENDLESS_TRAILERS)
+def test_endless_trailer_section_of_a_response_takes_little_memory(tmp_path: Path, rest: list[bytes]) -> None:
+    """Guards against the end of the process by one response: 192 MB were held within two seconds."""
+
+    def exchange(conn: socket.socket, file: Any) -> None:
+        while file.readline().strip():
+            pass
+        send_until_closed(conn, OPEN_CHUNKED_RESPONSE + b"0\r\n", rest)
+
+    with running(tmp_path, RawUpstream(exchange)) as (program, _, _d):
+        before = peak_rss_kb(program.process.pid)
+        assert program.exchange(request("pay", b"x"))[0] == 500
+        assert program.counters()["attempt_broken"] == 1
+        assert peak_rss_kb(program.process.pid) - before < MAX_GROWTH_KB
+
+
+@pytest.mark.parametrize("rest", ENDLESS_TRAILERS.values(), ids=ENDLESS_TRAILERS)
+def test_endless_trailer_section_of_a_request_takes_little_memory(tmp_path: Path, rest: list[bytes]) -> None:
+    """Guards against the end of the process by one client: a trailer field was held without a limit."""
+    start = _post(b"1\r\nx\r\n0\r\nx", "Transfer-Encoding: chunked\r\n")
+    with running(tmp_path, echo) as (program, upstreams, _):
+        before = peak_rss_kb(program.process.pid)
+        with program.connect() as conn:
+            sender = threading.Thread(target=send_until_closed, args=(conn, start, rest))
+            sender.start()
+            assert read_response(conn.makefile("rb"))[0] == 431
+        sender.join()
+        assert program.exchange(request("pay", b"x"))[0] == 200 and len(upstreams[0].received) == 1
+        assert peak_rss_kb(program.process.pid) - before < MAX_GROWTH_KB
+
+
 def test_reset_after_the_last_byte_gives_a_complete_or_visibly_truncated_response(tmp_path: Path) -> None:
     def exchange(conn: socket.socket, file: Any) -> None:
         while file.readline().strip():
