Limit the body of a response to a health check to 64 KiB

Cause: ResponseParser left bodies with status 200 unlimited because long ones are streamed, but whether they are was decided in UpstreamExchange, and a health check streams nothing.

Evidence: 197 MB to one check: 38 MB before, 226 MB at its end, 38 MB after a garbage collection. Ruled out: the load report, written data, further connections.

Change: the parser is told whether its caller streams, and limits each body that it stores. Parsed load reports are cached only up to 256 characters of text.

The three cases of test_health_check_with_an_endless_response_is_broken_off failed before (65 MB were read).

--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -30,6 +30,7 @@
 _MAX_LOAD = {"utilisation": 2.0, "error_rate": 1e5, "latency": 1e6}  # latency in ms
 _MAX_OTHER_LOAD = 1e5
 _LOAD_CACHE_SIZE = 256  # upstreams repeat the same report in many responses
+_MAX_CACHED_LOAD_CHARS = 256  # of a report; a longer one is parsed each time, so that the cache stays small
 _MS_PER_S = 1000.0
 
 _STATUS_LINES = {s.value: b"HTTP/1.1 %d %s\r\n" % (s.value, s.phrase.encode()) for s in HTTPStatus}
@@ -111,7 +112,6 @@
     return f"{address[0]}:{address[1]}".encode()
 
 
-@lru_cache(_LOAD_CACHE_SIZE)
 def parse_load_report(text: str | None) -> LoadReport | None:
     """Parse a load report, ``name=value,name=value``; latency is converted to seconds.
 
@@ -120,6 +120,15 @@
     """
     if not text:
         return None
+    return _parse_load_report(text) if len(text) > _MAX_CACHED_LOAD_CHARS else _cached_load_report(text)
+
+
+@lru_cache(_LOAD_CACHE_SIZE)
+def _cached_load_report(text: str) -> LoadReport | None:
+    return _parse_load_report(text)
+
+
+def _parse_load_report(text: str) -> LoadReport | None:
     figures: dict[str, float] = {}
     for pair in text.split(","):
         name, _, value = pair.partition("=")
--- a/indigokeel/net/upstream/health_check.py
+++ b/indigokeel/net/upstream/health_check.py
@@ -69,7 +69,7 @@
         return [self._message]
 
     def on_response_started(self, response: UpstreamResponse) -> None:
-        """Do nothing: the response is read in full (Call)."""
+        """Do nothing: the response is never streamed (Call)."""
 
     def on_response_ended(self, response: UpstreamResponse, is_reusable: bool) -> None:
         """Store the response (Call)."""
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -26,18 +26,23 @@
 class ResponseParser:
     """Parses the next response on a connection. The ``on_`` methods are callbacks of httptools.
 
+    With ``streams_body``, the caller takes the body of a long response with status 200 while it arrives. Any
+    other body is stored until the response is complete, and is invalid if it exceeds
+    ``http.MAX_BUFFERED_BODY``.
+
     ``is_reusable`` is set when the response is complete, no bytes follow it and the upstream keeps the
     connection open. Received bytes are counted for this, because llhttp skips empty lines after a response.
     """
 
     __slots__ = (
         "_body_bytes", "_body_start", "_ends_at_eof", "_framing_limit", "_head", "_interim_responses",
-        "_keeps_alive", "_parser", "_received_bytes", "_tail", "body", "chunked", "complete", "headers",
-        "is_reusable", "length", "status",
+        "_keeps_alive", "_parser", "_received_bytes", "_streams_body", "_tail", "body", "chunked", "complete",
+        "headers", "is_reusable", "length", "status",
     )  # fmt: skip
 
-    def __init__(self) -> None:
+    def __init__(self, streams_body: bool = True) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._streams_body = streams_body
         self._framing_limit = FramingLimit()
         self._interim_responses = 0
         self._received_bytes = 0
@@ -101,17 +106,15 @@
             self._skip_interim_response(status)
             return
         self._check_framing(status)
-        if status != 200 and self.length > http.MAX_BUFFERED_BODY:
-            raise InvalidResponseError("the body of an error response is too large")
         self.status = status
+        self._check_body_size(self.length)
 
     def on_body(self, data: bytes) -> None:
-        """Store a part of the body; raises InvalidResponseError if that of an error response is too large."""
+        """Store a part of the body; raises InvalidResponseError if it is too large to be stored."""
         if self.complete:
             return
         self._body_bytes += len(data)
-        if self._body_bytes > http.MAX_BUFFERED_BODY and self.status != 200:
-            raise InvalidResponseError("the body of an error response is too large")
+        self._check_body_size(self._body_bytes)
         self.body.append(data)
 
     def on_message_complete(self) -> None:
@@ -126,8 +129,8 @@
         return self.complete
 
     def is_long(self) -> bool:
-        """Return whether a successful response in progress is too long to be buffered in full."""
-        if self.status != 200 or self.complete or not self.body:
+        """Return whether a response in progress is to be streamed, as it is too long to be stored."""
+        if not self._may_be_streamed() or self.complete or not self.body:
             return False
         if self.length < 0:
             return self._body_bytes > _STREAM_THRESHOLD_BYTES
@@ -150,6 +153,14 @@
             return UpstreamResponse(AttemptOutcome.REJECTED, load)
         return UpstreamResponse(AttemptOutcome.ERROR, load)
 
+    def _may_be_streamed(self) -> bool:
+        return self._streams_body and self.status == 200
+
+    def _check_body_size(self, size: int) -> None:
+        """Raise InvalidResponseError if a body of this size is too large and cannot be streamed either."""
+        if size > http.MAX_BUFFERED_BODY and not self._may_be_streamed():
+            raise InvalidResponseError("the body is too large to be stored")
+
     def _find_body_start(self) -> None:
         """Locate the body if the final head is complete."""
         if self.status >= 200:
--- a/indigokeel/net/upstream/upstream_exchange.py
+++ b/indigokeel/net/upstream/upstream_exchange.py
@@ -16,7 +16,7 @@
 class Call(Protocol):
     """A request that an exchange sends, and the receiver of its response."""
 
-    streams_response: bool  # whether the body of a long response is passed on while it arrives
+    streams_response: bool  # a long response is passed on while it arrives; otherwise it is invalid
 
     def build_message(self) -> list[bytes] | None:
         """Return the message to write, or None to write nothing."""
@@ -51,7 +51,7 @@
         write fails for lack of a local resource. The call is not notified in either case; otherwise it is
         notified of the result, after this returns.
         """
-        parser = ResponseParser()
+        parser = ResponseParser(call.streams_response)
         message = call.build_message()
         if message is None:
             return False
@@ -115,7 +115,7 @@
 
     def _start_stream(self, parser: ResponseParser) -> None:
         call = self._call
-        if call is None or not call.streams_response:
+        if call is None:
             return
         stream = self._stream = ResponseStream(self._connection, parser.length)
         call.on_response_started(UpstreamResponse(AttemptOutcome.OK, parser.response().load, None, stream))
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -154,8 +154,10 @@
     def _serve_connection(self, conn: socket.socket) -> None:
         with contextlib.suppress(OSError, ValueError), conn, conn.makefile("rb") as file:
             self.exchange(conn, file)
+        self.connections_closed += 1
 
 
+OPEN_CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
 LONG_RESPONSE_SIZE, LONG_RESPONSE_BLOCK = 32 << 20, os.urandom(1 << 20)
 
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -18,6 +18,7 @@
 from tests.peers import (
     LONG_RESPONSE_BLOCK,
     LONG_RESPONSE_SIZE,
+    OPEN_CHUNKED_RESPONSE,
     TIMEOUT_S,
     DiscoveryServer,
     Message,
@@ -38,7 +39,6 @@
 )
 
 LONG_BODY = os.urandom(1 << 20)
-OPEN_CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
 LONG_UPLOAD_BYTES = 32 << 20  # more than the sockets on the way to an upstream hold
 
 
--- a/tests/test_health_checks.py
+++ b/tests/test_health_checks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -63,6 +64,35 @@
     assert asyncio.run(client.check_health("s-1")) == (AttemptOutcome.NOT_SENT, None)
 
 
+ENDLESS_BODIES = {
+    "chunked": (peers.OPEN_CHUNKED_RESPONSE, b"10000\r\n" + bytes(65536) + b"\r\n"),
+    "with a length": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", bytes(65536)),
+    "until the close": (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", bytes(65536)),
+}
+
+
+@pytest.mark.parametrize(("start", "rest"), ENDLESS_BODIES.values(), ids=ENDLESS_BODIES)
+def test_health_check_with_an_endless_response_is_broken_off(start: bytes, rest: bytes) -> None:
+    """Guards against the end of the process by one response: 192 MB were held within half a second."""
+    sent_bytes = 0
+
+    def exchange(conn: socket.socket, file: Any) -> None:
+        nonlocal sent_bytes
+        file.readline()
+        conn.sendall(start)
+        for _ in range(1000):
+            conn.sendall(rest)
+            sent_bytes += len(rest)
+
+    upstream = peers.RawUpstream(exchange)
+    client = UpstreamClient(
+        make_coordinator(upstream.port), Counters("t"), UpstreamClientOptions(0.25, 30.0, 8)
+    )
+    assert asyncio.run(client.check_health("s-0")) == (AttemptOutcome.BROKEN, None)
+    until(lambda: upstream.connections_closed == 1)
+    assert sent_bytes < 16 << 20  # what the sockets hold
+
+
 async def send_attempt(
     client: UpstreamClient, coordinator: RequestCoordinator, number: int
 ) -> AttemptOutcome:
--- a/tests/test_upstream_deadlines.py
+++ b/tests/test_upstream_deadlines.py
@@ -86,10 +86,10 @@
         self.step("clock")
         return now
 
-    def make_parser(self) -> response_parser.ResponseParser:
+    def make_parser(self, streams_body: bool) -> response_parser.ResponseParser:
         """Return a parser (replaces the class ResponseParser)."""
         self.step("exchange")
-        return response_parser.ResponseParser()
+        return response_parser.ResponseParser(streams_body)
 
     def has_client_disconnected(self) -> bool:
         """Return whether the client has disconnected (OutboundRequest.has_client_disconnected)."""
