End the pause of a long request body with its request, however that ends

Cause: the pause was a flag of the connection, cleared when the body was written or discarded. To discard it with the answer, the body was looked up in the parser, which forgets it with its last byte: if that was parsed together with the bytes that caused the pause, nobody was left to clear the flag. A cancelled attempt tells nobody either.

Evidence: a scripted connection with the end of the body in the same read as the pause stays paused after the answer, with parser.request_stream None; with the end in a later read it goes on. That rules out the time-outs, the answer and the kernel.

Change: the receiver owns the body of the request being served until the exchange ends, and asks it whether it is paused; the flag is gone. CurrentExchange.on_written and release_request, through which every exchange ends, discard it.

Before the change the three endings of test_connection_is_read_again_however_a_long_request_ended and both tests of test_long_request_endings.py failed (never answered).

--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -109,6 +109,7 @@
     def on_written(self) -> None:
         """Finish the exchange, and end the connection if it does not persist."""
         self.busy = False
+        self._input.end_current_stream()
         if self._input.active_stream() is not None:
             return  # a close before the rest of the body is read would reset the connection
         self._timeouts.restart(time.monotonic())
@@ -142,10 +143,9 @@
 
     def release_request(self) -> None:
         """Cancel the request being served, and the streamed bodies in both directions."""
-        self._input.take_streamed_request()
         request_id = self.request_id
         self.request_id = ""
         if request_id:
             self._handler.client_disconnected(request_id)
-        self._input.drop_request_stream()
+        self._input.drop_streams()
         self._writer.abandon_stream()
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -37,7 +37,9 @@
 class BodyBackpressure(Protocol):
     """The backpressure of a streamed request body on the parsing of the input behind it."""
 
-    is_blocked: bool  # nothing is parsed until the body is forwarded or its request started
+    @property
+    def is_blocked(self) -> bool:
+        """Whether nothing is parsed until the body is forwarded or its request started."""
 
 
 class ReadFlow:
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -112,7 +112,7 @@
     def _serve_after_queue(self) -> None:
         """Serve a streamed request, end a connection that has stopped reading, or invite an awaited body."""
         request_input = self.input
-        streamed = request_input.take_streamed_request()
+        streamed = request_input.start_streamed_request()
         if streamed is not None:
             self.exchange.begin(keep_alive=True)
             streamed.request.body_unread_since = request_input.flow.unread_since()
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -67,9 +67,9 @@
             return None
         return request_stream
 
-    def take_streamed_request(self) -> ReceivedRequest | None:
-        """Remove and return the streamed request that is waiting for its turn, if there is one."""
-        return self._receiver.take_streamed_request()
+    def start_streamed_request(self) -> ReceivedRequest | None:
+        """Remove and return the streamed request whose turn it is, if there is one."""
+        return self._receiver.start_streamed_request()
 
     def discard_active_stream(self) -> None:
         """Discard the rest of the streamed body of the request being served, which has its response."""
@@ -78,8 +78,14 @@
             request_stream.discard()
             self.parser.already_responded = True
 
-    def drop_request_stream(self) -> None:
-        """Stop forwarding the streamed body that is being read."""
+    def end_current_stream(self) -> None:
+        """Discard the streamed body of the request being served, which has ended."""
+        self._receiver.end_current_stream()
+
+    def drop_streams(self) -> None:
+        """Discard all streamed bodies, and the streamed request that is waiting for its turn."""
+        self._receiver.drop_streamed_request()
+        self._receiver.end_current_stream()
         if self.parser.request_stream is not None:
             self.parser.request_stream.discard()
 
@@ -95,7 +101,7 @@
 
         The error is not reported if it is within a request that already has its response.
         """
-        self._receiver.take_streamed_request()
+        self._receiver.drop_streamed_request()
         # A raised error keeps the frames of its traceback alive; a new one does not.
         self.read_error = None if self.parser.already_responded else RequestError(error.status, str(error))
         self.flow.stop()
--- a/indigokeel/net/downstream/request_receiver.py
+++ b/indigokeel/net/downstream/request_receiver.py
@@ -38,32 +38,44 @@
     behind it is parsed.
     """
 
-    __slots__ = ("_handler", "_pipeline", "_stream_full", "_streamed_request", "_timeouts", "is_blocked")
+    __slots__ = ("_current_stream", "_handler", "_pipeline", "_streamed_request", "_timeouts")
 
     def __init__(self, handler: RequestReceiverHandler, pipeline: Pipeline, timeouts: ClientTimeouts) -> None:
         self._handler = handler
         self._pipeline = pipeline
         self._timeouts = timeouts
-        self._stream_full = False  # buffered parts of the streamed body must be forwarded before more is read
-        self._streamed_request: ReceivedRequest | None = None
-        self.is_blocked = False  # parsing waits for the streamed body, or for its request's turn
+        self._streamed_request: ReceivedRequest | None = None  # waits for its turn
+        self._current_stream: RequestStream | None = None  # of the request being served, until its response
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether parsing waits for a streamed request's turn, or for its body to be forwarded."""
+        if self._streamed_request is not None:
+            return True
+        return self._current_stream is not None and self._current_stream.is_source_paused
 
     def holds_streamed_request(self) -> bool:
         """Return whether a streamed request is waiting for its turn."""
         return self._streamed_request is not None
 
-    def take_streamed_request(self) -> ReceivedRequest | None:
-        """Remove and return the streamed request that is waiting for its turn, if there is one."""
+    def start_streamed_request(self) -> ReceivedRequest | None:
+        """Remove and return the streamed request whose turn it is, if there is one."""
         received = self._streamed_request
+        self._streamed_request = None
         if received is not None:
-            self._update_blocking(None, self._stream_full)
+            self._current_stream = received.outbound.request_stream
         return received
 
-    def _update_blocking(self, streamed_request: ReceivedRequest | None, stream_full: bool) -> None:
-        """Set the two conditions that block parsing."""
-        self._streamed_request = streamed_request
-        self._stream_full = stream_full
-        self.is_blocked = stream_full or streamed_request is not None
+    def drop_streamed_request(self) -> None:
+        """Remove the streamed request that is waiting for its turn, if there is one."""
+        self._streamed_request = None
+
+    def end_current_stream(self) -> None:
+        """Discard what is left of the streamed body of the request that was served, and of its pause."""
+        request_stream = self._current_stream
+        self._current_stream = None
+        if request_stream is not None:
+            request_stream.discard()
 
     # --- parser callbacks -----------------------------------------------------------------------------
 
@@ -95,7 +107,7 @@
     def on_stream_started(self, received: ReceivedRequest) -> None:
         """Hold a request with a streamed body until its turn."""
         received.outbound.has_client_disconnected = self._handler.has_disconnected
-        self._update_blocking(received, self._stream_full)
+        self._streamed_request = received
 
     def on_stream_ended(
         self, request_stream: RequestStream, received: ReceivedRequest, keep_alive: bool
@@ -114,19 +126,17 @@
         received.outbound.body = request_stream.buffered()
         received.outbound.request_stream = None
         received.request.body_streamed = False
-        self._update_blocking(None, stream_full=False)
+        self._streamed_request = None
         self._pipeline.append(PendingRequest(self._pipeline.arrived_at, keep_alive, received))
 
     # --- source of the streamed body ------------------------------------------------------------------
 
     def pause(self) -> None:
         """Pause reading until the buffered part of the streamed body has been forwarded."""
-        self._update_blocking(self._streamed_request, stream_full=True)
         self._handler.regulate_reading()
 
     def resume(self) -> None:
         """Resume reading the streamed body."""
-        self._update_blocking(self._streamed_request, stream_full=False)
         self._handler.regulate_reading()
 
     def has_disconnected(self) -> bool:
--- a/indigokeel/net/streams.py
+++ b/indigokeel/net/streams.py
@@ -115,12 +115,13 @@
     """The body of a long request, from the client connection to one upstream connection.
 
     ``length`` is in bytes, or -1 if the body is chunked. ``is_complete`` is set when the last byte has been
-    received, ``is_fully_written`` when it has been written to the upstream.
+    received, ``is_fully_written`` when it has been written to the upstream. ``is_source_paused`` is set while
+    too much is buffered.
     """
 
     __slots__ = (
-        "_buffered", "_buffered_bytes", "_is_discarded", "_is_source_paused", "_received_bytes", "_sink",
-        "_source", "is_complete", "is_fully_written", "length",
+        "_buffered", "_buffered_bytes", "_is_discarded", "_received_bytes", "_sink", "_source",
+        "is_complete", "is_fully_written", "is_source_paused", "length",
     )  # fmt: skip
 
     def __init__(self, source: RequestStreamSource, length: int, received: http.Body) -> None:
@@ -132,7 +133,7 @@
         self._buffered = received
         self._buffered_bytes = sum(map(len, received))
         self._received_bytes = self._buffered_bytes
-        self._is_source_paused = False
+        self.is_source_paused = False
         self._is_discarded = False
 
     def add(self, data: bytes) -> None:
@@ -143,8 +144,8 @@
         self._buffered_bytes += len(data)
         self._received_bytes += len(data)
         self.flush()
-        if self._buffered_bytes > _HIGH_WATER_BYTES and not self._is_source_paused:
-            self._is_source_paused = True
+        if self._buffered_bytes > _HIGH_WATER_BYTES and not self.is_source_paused:
+            self.is_source_paused = True
             self._source.pause()
 
     def end(self) -> None:
@@ -190,6 +191,6 @@
         return self._buffered
 
     def _resume_source(self) -> None:
-        if self._is_source_paused:
-            self._is_source_paused = False
+        if self.is_source_paused:
+            self.is_source_paused = False
             self._source.resume()
