Pause a streamed response from its start if its client takes nothing yet

What callers could see: a client that takes none of its pipelined responses and then gets a long one makes the sidecar hold all of it, which counts against the memory limit.

Cause: the transport reports only changes, so an upstream whose response begins while the client's output is paused was never told. Change: ResponseWriter pauses a stream that it starts while paused.

Evidence: test_streamed_response_to_a_client_that_takes_nothing_is_paused_from_its_start failed before (the source is not paused) and passes now, with the end of the pause.

--- a/indigokeel/net/downstream/response_writer.py
+++ b/indigokeel/net/downstream/response_writer.py
@@ -78,6 +78,8 @@
         self._timeouts.restart(time.monotonic())
         self._transport.write(http.format_response_head(200, stream.length, close=close))
         stream.attach(self)
+        if self.write_paused:  # the transport reports only a change
+            stream.pause()
 
     def body(self, chunks: http.Body) -> None:
         """Write a part of the streamed body."""
--- a/tests/unit/net/downstream/test_client_connection.py
+++ b/tests/unit/net/downstream/test_client_connection.py
@@ -153,3 +153,17 @@
         client.connection.data_received(request("view"))
         assert len(client.handler.requests) == 2 * (number + 1)
         client.respond(FinalStatus.REJECTED)
+
+
+def test_streamed_response_to_a_client_that_takes_nothing_is_paused_from_its_start(
+    client: ScriptedConnection,
+) -> None:
+    """Guards against a long response held whole, because its client was slow before the response began."""
+    upstream = StreamEnds()
+    client.connection.data_received(request("view"))
+    client.connection.pause_writing()
+    stream = ResponseStream(upstream, -1)
+    client.respond(FinalStatus.SERVED, UpstreamResponse(AttemptOutcome.OK, None, None, stream))
+    assert upstream.is_paused
+    client.connection.resume_writing()
+    assert not upstream.is_paused
