Free the response of an upstream at its end, without a garbage collection

Cause: ResponseParser and its httptools parser referred to each other, as the callbacks are methods of the first, and collections are rare by choice (__main__.py). Evidence: with the collection off, four parsers are left after three attempts and a health check, whichever way these end; that rules out the pool and lists.

Change: httptools gets callbacks that refer to the parser weakly, also for discovery. No cycle is made, so no ending has to break it.

--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -12,6 +12,7 @@
 from indigokeel.metrics import Counters
 from indigokeel.net import http
 from indigokeel.net.framing_limit import FramingLimit
+from indigokeel.net.response_callbacks import ResponseCallbacks
 
 _PATH = b"/catalog/members"
 _CONNECT_TIMEOUT_S = 2.0
@@ -210,11 +211,11 @@
 
 
 class _DiscoveryResponse:
-    """Reads one response, whose body may be endless. httptools calls the ``on_`` methods."""
+    """Reads one response, whose body may be endless (``ResponseHandler``)."""
 
     def __init__(self, reader: asyncio.StreamReader) -> None:
         self._reader = reader
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(ResponseCallbacks(self))
         self._framing_limit = FramingLimit()
         self._unread = b""  # bytes of the body that were not decoded yet
         self._is_complete = False
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -8,6 +8,7 @@
 from indigokeel.net import http
 from indigokeel.net.framing_limit import FramingLimit
 from indigokeel.net.messages import UpstreamResponse
+from indigokeel.net.response_callbacks import ResponseCallbacks
 
 _MAX_INTERIM_RESPONSES = 16  # with status 1xx, before the final response
 _STREAM_THRESHOLD_BYTES = 16 * 1024  # a body of unknown length is streamed once more than this has arrived
@@ -24,7 +25,7 @@
 
 
 class ResponseParser:
-    """Parses the next response on a connection. The ``on_`` methods are callbacks of httptools.
+    """Parses the next response on a connection. The ``on_`` methods are those of ``ResponseHandler``.
 
     With ``streams_body``, the caller takes the body of a long response with status 200 while it arrives. Any
     other body is stored until the response is complete, and is invalid if it exceeds
@@ -35,13 +36,13 @@
     """
 
     __slots__ = (
-        "_body_bytes", "_body_start", "_ends_at_eof", "_framing_limit", "_head", "_interim_responses",
-        "_keeps_alive", "_parser", "_received_bytes", "_streams_body", "_tail", "body", "chunked", "complete",
-        "headers", "is_reusable", "length", "status",
+        "__weakref__", "_body_bytes", "_body_start", "_ends_at_eof", "_framing_limit", "_head",
+        "_interim_responses", "_keeps_alive", "_parser", "_received_bytes", "_streams_body", "_tail", "body",
+        "chunked", "complete", "headers", "is_reusable", "length", "status",
     )  # fmt: skip
 
     def __init__(self, streams_body: bool = True) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(ResponseCallbacks(self))
         self._streams_body = streams_body
         self._framing_limit = FramingLimit()
         self._interim_responses = 0
