Join the small parts of every stored body, not only of buffered requests

Cause: limits count the bytes of a body, but each part is an object of its own. Only buffered requests joined them, so 60,000 bytes in chunks of one and two bytes took 2.5 and 1.3 MB in error responses, in responses to health checks and in streamed requests, on each connection.

Change: http.append_part, which all stored bodies use.

Result: test_body_in_many_small_chunks_takes_little_more_than_its_size failed before in both forms (1,296,522 and 2,539,994 bytes) and passes (under 70,000).

--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -19,7 +19,6 @@
 from indigokeel.net.streams import RequestStream, RequestStreamSource
 
 _MAX_HEADERS = 100
-_MAX_BODY_CHUNKS = 64  # of a buffered body; more are joined, because many small ones cost memory
 _HEALTH_TARGET = b"/_health"
 
 
@@ -208,15 +207,13 @@
     def _buffer(self, received: ReceivedRequest, data: bytes) -> None:
         """Append to a body; stream it once it is too long to be buffered."""
         outbound = received.outbound
-        outbound.body.append(data)
+        http.append_part(outbound.body, data)
         if self.body_bytes > http.MAX_BUFFERED_BODY:
             self.request_stream = RequestStream(self._handler, self._content_length, outbound.body)
             outbound.request_stream = self.request_stream
             outbound.body = []
             received.request.body_streamed = True
             self._handler.on_stream_started(received)
-        elif len(outbound.body) >= _MAX_BODY_CHUNKS:
-            outbound.body[:] = [b"".join(outbound.body)]
 
     def on_message_complete(self) -> None:
         """Report the end of a message."""
--- a/indigokeel/net/http.py
+++ b/indigokeel/net/http.py
@@ -24,7 +24,9 @@
 MAX_BUFFERED_BODY = 64 * 1024  # bytes of a body that is buffered whole; a longer one is streamed
 MAX_REQUEST_BODY = 40 << 20  # bytes of the body of a request; a longer one is rejected
 
-Body = list[bytes]  # the chunks of a body, as received
+Body = list[bytes]  # the parts of a body
+
+_MAX_BODY_PARTS = 64  # that are stored; more are joined, because many small ones cost memory
 
 # A figure over its limit counts as missing. Utilisation is noisy and may slightly exceed 1.
 _MAX_LOAD = {"utilisation": 2.0, "error_rate": 1e5, "latency": 1e6}  # latency in ms
@@ -100,6 +102,13 @@
     return [format_response_head(status, sum(map(len, body)), retry_after_s, close), *body]
 
 
+def append_part(body: Body, data: bytes) -> None:
+    """Append received bytes to a body."""
+    body.append(data)
+    if len(body) >= _MAX_BODY_PARTS:
+        body[:] = [b"".join(body)]
+
+
 def encode_chunk(pieces: Sequence[bytes], last: bool) -> list[bytes]:
     """Return parts of a body encoded as one chunk, followed by the terminating chunk if ``last``."""
     size = sum(map(len, pieces))
--- a/indigokeel/net/streams.py
+++ b/indigokeel/net/streams.py
@@ -140,7 +140,7 @@
         """Buffer a part of the body, and pause the source if too much is buffered."""
         if self._is_discarded:
             return
-        self._buffered.append(data)
+        http.append_part(self._buffered, data)
         self._buffered_bytes += len(data)
         self._received_bytes += len(data)
         self.flush()
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -116,7 +116,7 @@
             return
         self._body_bytes += len(data)
         self._check_body_size(self._body_bytes)
-        self.body.append(data)
+        http.append_part(self.body, data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it is an interim response."""
--- a/tests/unit/net/test_endless_messages.py
+++ b/tests/unit/net/test_endless_messages.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import sys
 from collections.abc import Callable, Iterator
 from typing import cast
 
@@ -14,6 +15,7 @@
 from indigokeel.net import http
 from indigokeel.net.discovery import _DiscoveryResponse
 from indigokeel.net.downstream.request_parser import RequestParser, RequestParserHandler
+from indigokeel.net.streams import RequestStream, RequestStreamSource
 from indigokeel.net.upstream.response_parser import InvalidResponseError, ResponseParser
 from tests.peers import SETTINGS, request
 
@@ -123,3 +125,23 @@
             parser.feed((b"" if start else REQUEST) + end[start : start + size])
         assert response.complete and b"".join(response.body) == b"\nsold"
         assert parser.messages_parsed == 1
+
+
+def stored_bytes(body: http.Body) -> int:
+    """Return the memory that a body takes."""
+    return sys.getsizeof(body) + sum(map(sys.getsizeof, body))
+
+
+@pytest.mark.parametrize("chunk", [b"2\r\nab\r\n", b"1\r\na\r\n"])
+def test_body_in_many_small_chunks_takes_little_more_than_its_size(chunk: bytes) -> None:
+    """Guards against bodies of 64 KiB that take 2 MB each, on each connection of a bad client or upstream."""
+    chunks = chunk * (60_000 // int(chunk[:1]))
+    error = ResponseParser()
+    error.feed(RESPONSE.replace(b"200", b"500"))
+    error.feed(chunks)
+    receiver = IgnoringHandler()
+    request_stream = RequestStream(cast(RequestStreamSource, receiver), -1, [])
+    for _ in range(60_000 // int(chunk[:1])):
+        request_stream.add(chunk[3:-2])
+    for body in (error.body, request_stream.buffered()):
+        assert sum(map(len, body)) >= 60_000 and stored_bytes(body) < 70_000
