Serve a request under the settings of its arrival, however long it waits

Cause: a waiting request carried the name of its class alone, and the coordinator and the balancer looked the class up at its turn. Ruled out: the retry rules, as an open request kept its class, and hedging.

Change: process/settings_history.py tells the settings by the time of arrival, the request carries them, and a reload notes on which connections input waits. If a request may have arrived under several, the strictest that has its class counts.

--- a/indigokeel/balancing/balancer.py
+++ b/indigokeel/balancing/balancer.py
@@ -185,15 +185,15 @@
         self._health_checks.send_if_due(now)
 
     def _open_request(self, now: float, event: RequestArrived) -> RequestState:
-        class_settings = self._mix.classes.get(event.class_name)
+        settings = event.settings or self._settings
+        class_settings = settings.find_class(event.class_name)
         if class_settings is None:
             raise ValueError(f"request of a class that the settings do not name: {event.class_name}")
         key = 0
         if event.key and self._settings.key_affinity:
             key = self._hot_keys.spread(hash64(event.key))
-        statistics = self._mix.statistics[event.class_name]
-        max_attempts = self._settings.limits.max_attempts
-        request = RequestState(event, class_settings, statistics, max_attempts, key, now)
+        statistics = self._mix.statistics_of(class_settings)
+        request = RequestState(event, class_settings, statistics, settings.limits.max_attempts, key, now)
         self._requests.add(request)
         return request
 
--- a/indigokeel/balancing/events.py
+++ b/indigokeel/balancing/events.py
@@ -11,6 +11,7 @@
 from typing import TypeAlias
 
 from indigokeel.balancing.fast_enum import FastHashEnum
+from indigokeel.balancing.settings import Settings
 
 
 class EndpointState(FastHashEnum):
@@ -90,6 +91,7 @@
     tenant: str = ""
     key: str = ""
     hint: float = 0.0  # rough work estimate, in seconds on a standard core; 0: none
+    settings: Settings | None = None  # in force when it arrived; None: those in force now
 
 
 @dataclass(slots=True)
--- a/indigokeel/balancing/request_mix.py
+++ b/indigokeel/balancing/request_mix.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from indigokeel.balancing.class_statistics import ARRIVAL_COUNT_TIME_CONSTANT_S, ClassStatistics
-from indigokeel.balancing.settings import Settings
+from indigokeel.balancing.settings import ClassSettings, Settings
 from indigokeel.balancing.statistics import DecayingSum
 
 MAX_REJECTED_RATIO = 0.9  # of a class; the admitted rest shows when the overload has ended
@@ -25,6 +25,10 @@
         }
         self._weight_by_work = settings.weight_by_work
 
+    def statistics_of(self, class_settings: ClassSettings) -> ClassStatistics:
+        """Return the statistics of a class: new ones, which are not kept, if it is no longer configured."""
+        return self.statistics.get(class_settings.name) or ClassStatistics(class_settings)
+
     def record_arrival(self, now: float, statistics: ClassStatistics) -> None:
         """Count a request of a class."""
         self._arrivals.add(now, 1.0)
--- a/indigokeel/balancing/settings.py
+++ b/indigokeel/balancing/settings.py
@@ -111,3 +111,10 @@
     key_affinity: bool = False  # an upstream does less work for a key that it has served recently
     weight_by_work: bool = False  # priority weights are per unit of work, not per request
     over_quota_weight: float = 1.0
+
+    def find_class(self, name: str) -> ClassSettings | None:
+        """Return the settings of a class, or None if there is no class of this name."""
+        for class_settings in self.classes:
+            if class_settings.name == name:
+                return class_settings
+        return None
--- a/indigokeel/net/downstream/client_connection.py
+++ b/indigokeel/net/downstream/client_connection.py
@@ -91,7 +91,7 @@
         self.has_received_data = True
         if self._handler.overloaded and self._dispatcher.is_idle() and self._shed(data):
             return
-        request_input.pipeline.append_bytes(data, arrived_at)
+        request_input.pipeline.append_bytes(data, arrived_at, now)
         request_input.flow.parse()
         self._dispatcher.process_pipeline()
 
@@ -133,6 +133,11 @@
         """Return whether input is waiting that will get a response and is not being served yet."""
         return not self.ended and (not self._input.pipeline.is_empty() or http.is_readable(self.fd))
 
+    def record_unread_input(self, now: float) -> None:
+        """Record that input is waiting at ``now``, in monotonic seconds, if that is so."""
+        if not self.ended and http.is_readable(self.fd):
+            self._input.flow.record_unread_input(now)
+
     def has_unwritten_output(self) -> bool:
         """Return whether a close now would lose output."""
         return self._close.has_unwritten_output(self.fd)
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -97,6 +97,11 @@
         self.last_read_at = now
         return arrived_at
 
+    def record_unread_input(self, now: float) -> None:
+        """Record that input is waiting at ``now``, in monotonic seconds."""
+        if not self.paused_at:
+            self._backlog_since = self._backlog_since or now
+
     def unread_since(self) -> float | None:
         """Return the monotonic seconds since which the end of a streamed body may have been waiting.
 
--- a/indigokeel/net/downstream/pipeline.py
+++ b/indigokeel/net/downstream/pipeline.py
@@ -35,13 +35,14 @@
 class Pipeline:
     """Queue the requests that were read before their turn, and the unparsed bytes behind them."""
 
-    __slots__ = ("_bytes", "_requests", "_start", "arrived_at", "total_queued")
+    __slots__ = ("_bytes", "_requests", "_start", "arrived_at", "read_at", "total_queued")
 
     def __init__(self) -> None:
         self._requests: list[PendingRequest] = []  # not a deque: an empty one is ten times as large
         self._bytes = b""
         self._start = 0  # index of the first unparsed byte
         self.arrived_at = 0.0  # monotonic seconds at which the newest bytes may have arrived
+        self.read_at = 0.0  # monotonic seconds at which they were read
         self.total_queued = 0  # requests ever queued
 
     def is_empty(self) -> bool:
@@ -82,9 +83,10 @@
         """Return whether bytes are waiting to be parsed."""
         return bool(self._bytes)
 
-    def append_bytes(self, data: bytes, arrived_at: float) -> None:
+    def append_bytes(self, data: bytes, arrived_at: float, read_at: float) -> None:
         """Queue bytes that were read and may have arrived at ``arrived_at``, in monotonic seconds."""
         self.arrived_at = arrived_at
+        self.read_at = read_at
         self._bytes = self._bytes[self._start :] + data if self._bytes else data
         self._start = 0
 
--- a/indigokeel/net/downstream/request_decoder.py
+++ b/indigokeel/net/downstream/request_decoder.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from indigokeel.balancing.settings import ClassSettings, Idempotency, Settings
@@ -63,11 +63,20 @@
     return int(values[0])
 
 
-def read_request(method: bytes, target: bytes, headers: Headers, settings: Settings) -> ReceivedRequest:
-    """Decode a message's head. Raises RequestError if the request cannot be served."""
+def read_request(
+    method: bytes, target: bytes, headers: Headers, settings_for: Callable[[str], Settings]
+) -> ReceivedRequest:
+    """Decode a message's head. Raises RequestError if the request cannot be served.
+
+    ``settings_for`` returns the settings for a request of a class, by its name.
+    """
     if method not in _METHODS:
         raise RequestError(405, "the method is neither GET nor POST")
-    class_settings = _read_class(headers, settings)
+    class_name = _read_class_name(headers)
+    settings = settings_for(class_name)
+    class_settings = settings.find_class(class_name)
+    if class_settings is None:
+        raise RequestError(400, "Request-Class is missing or not known")
     path = _read_path(target, class_settings.name)
     request_id = _read_request_id(headers)
     budget_s = _read_budget(headers)
@@ -80,6 +89,7 @@
         tenant=headers.get(b"tenant", b"").decode("latin-1"),
         key=path[-1] if len(path) > 2 else "",
         hint=_read_work_hint(headers, info),
+        settings=settings,
     )
     has_body = b"content-length" in headers or b"transfer-encoding" in headers
     unsafe = class_settings.idempotency is Idempotency.UNSAFE
@@ -87,13 +97,9 @@
     return ReceivedRequest(request, outbound)
 
 
-def _read_class(headers: Headers, settings: Settings) -> ClassSettings:
-    """Return the settings of the request's class."""
-    name = headers.get(b"request-class", b"").decode("latin-1")
-    for class_settings in settings.classes:
-        if class_settings.name == name:
-            return class_settings
-    raise RequestError(400, "Request-Class is missing or not known")
+def _read_class_name(headers: Headers) -> str:
+    """Return the name of the request's class."""
+    return headers.get(b"request-class", b"").decode("latin-1")
 
 
 def _read_path(target: bytes, class_name: str) -> list[str]:
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -70,7 +70,7 @@
         self._handler = handler
         self._counters = counters
         dispatcher = weakref.proxy(self)
-        self.input = RequestInput(dispatcher, lambda: handler.settings, timeouts)
+        self.input = RequestInput(dispatcher, handler.settings_for, timeouts)
         self.writer = ResponseWriter(dispatcher, timeouts, counters)
         self.exchange = CurrentExchange(connection, handler, counters, self.input, self.writer, timeouts)
         self._processing = False
--- a/indigokeel/net/downstream/request_handler.py
+++ b/indigokeel/net/downstream/request_handler.py
@@ -44,7 +44,9 @@
 
     closing: bool  # the process is shutting down
     overloaded: bool  # the sidecar itself is overloaded and rejects some requests early
-    settings: Settings  # the current ones
+
+    def settings_for(self, class_name: str, earliest: float, latest: float) -> Settings:
+        """Return the settings for a request that arrived between two times, in monotonic seconds."""
 
     def is_healthy(self) -> bool:
         """Return whether the sidecar can serve requests."""
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Protocol
 
 from indigokeel.balancing.settings import Settings
@@ -26,11 +27,15 @@
     __slots__ = ("_receiver", "continue_expected", "flow", "parser", "pipeline", "read_error")
 
     def __init__(
-        self, handler: RequestInputHandler, settings: Callable[[], Settings], timeouts: ClientTimeouts
+        self,
+        handler: RequestInputHandler,
+        settings_for: Callable[[str, float, float], Settings],
+        timeouts: ClientTimeouts,
     ) -> None:
+        """``settings_for`` is ``RequestHandler.settings_for``."""
         self.pipeline = Pipeline()
         self._receiver = RequestReceiver(handler, self.pipeline, timeouts)
-        self.parser = RequestParser(self._receiver, settings)
+        self.parser = RequestParser(self._receiver, partial(_settings_for, self.pipeline, settings_for))
         self.flow = ReadFlow(handler, self.parser, self.pipeline, self._receiver, timeouts)
         self.read_error: RequestError | None = None  # reported after the responses to the requests before it
         self.continue_expected = False  # ``100 Continue`` is due once the requests before are served
@@ -123,3 +128,10 @@
                 on_read_error(broken)
         if self.read_error is not None:
             yield self.read_error
+
+
+def _settings_for(
+    pipeline: Pipeline, settings_for: Callable[[str, float, float], Settings], class_name: str
+) -> Settings:
+    """Return the settings for a request of a class in the bytes that were read last."""
+    return settings_for(class_name, pipeline.arrived_at, pipeline.read_at)
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -59,7 +59,7 @@
         "_headers",
         "_parser",
         "_received",
-        "_settings",
+        "_settings_for",
         "_target",
         "already_responded",
         "body_bytes",
@@ -69,10 +69,10 @@
         "request_stream",
     )
 
-    def __init__(self, handler: RequestParserHandler, settings: Callable[[], Settings]) -> None:
-        """Create a parser; ``settings`` returns the current settings."""
+    def __init__(self, handler: RequestParserHandler, settings_for: Callable[[str], Settings]) -> None:
+        """``settings_for`` returns the settings for a request of a class in the bytes that are parsed."""
         self._handler = handler
-        self._settings = settings
+        self._settings_for = settings_for
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
@@ -167,7 +167,9 @@
         if self._target == _HEALTH_TARGET:
             return
         try:
-            self._received = read_request(parser.get_method(), self._target, self._headers, self._settings())
+            self._received = read_request(
+                parser.get_method(), self._target, self._headers, self._settings_for
+            )
         except RequestError as error:
             # The end of the message is known, so the connection can serve the next request.
             self._reject(error)
--- a/indigokeel/process/reload.py
+++ b/indigokeel/process/reload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from dataclasses import dataclass
 
 from indigokeel.balancing.settings import Settings
@@ -29,7 +30,7 @@
         limits = settings.limits
         self.coordinator.apply_settings(settings)
         self.upstream_client.apply_timeouts(limits.connect_timeout, limits.keepalive)
-        self.requests.settings = settings
+        self.requests.apply_settings(time.monotonic(), settings)
         self.discovery.pushed = not settings.polls_membership
 
 
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -12,6 +12,7 @@
 from indigokeel.net.messages import OutboundRequest
 from indigokeel.net.upstream.connection_pool import ConnectionPool
 from indigokeel.process.effect_executor import EffectExecutor
+from indigokeel.process.settings_history import SettingsHistory
 from indigokeel.process.shutdown import ShutdownTimes
 from indigokeel.requests.coordinator import RequestCoordinator
 from indigokeel.requests.effects import Request
@@ -35,7 +36,7 @@
         counters: Counters,
     ) -> None:
         """Create the request handler of the connections in ``clients``."""
-        self.settings = settings  # the settings in force
+        self._settings = SettingsHistory(settings)
         self.closing = False  # the listener is closing; each connection closes after its next response
         self.overloaded = False  # the event loop lags; requests may be rejected early
         self._coordinator = coordinator
@@ -45,6 +46,23 @@
         self._counters = counters
         self._shutdown_times: ShutdownTimes | None = None
 
+    # --- settings -------------------------------------------------------------------------------------
+
+    @property
+    def settings(self) -> Settings:
+        """The settings in force."""
+        return self._settings.current
+
+    def apply_settings(self, now: float, settings: Settings) -> None:
+        """Apply settings to the requests that arrive from ``now`` on, in monotonic seconds."""
+        for client in self._clients:
+            client.record_unread_input(now)
+        self._settings.replace(now, settings)
+
+    def settings_for(self, class_name: str, earliest: float, latest: float) -> Settings:
+        """Return the settings for a request that arrived between two times, in monotonic seconds."""
+        return self._settings.for_class(class_name, earliest, latest)
+
     # --- requests -------------------------------------------------------------------------------------
 
     def is_healthy(self) -> bool:
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -106,7 +106,13 @@
         open_request = self._requests.open(now, request)
         self._driver.schedule_expiry(open_request)
         event = RequestArrived(
-            request.id, request.class_name, request.budget, request.tenant, request.key, request.hint
+            request.id,
+            request.class_name,
+            request.budget,
+            request.tenant,
+            request.key,
+            request.hint,
+            request.settings,
         )
         self._driver.deliver(now, event, effects, open_request)
         return effects
--- a/indigokeel/requests/effects.py
+++ b/indigokeel/requests/effects.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from indigokeel.balancing.settings import Settings
 from indigokeel.requests.unserved import Unserved
 
 
@@ -34,6 +35,7 @@
     # yet; the time limit then runs since that time.
     body_unread_since: float | None = None
     limited_by_shutdown: bool = False  # a shutdown made ``budget`` shorter than the client's time limit
+    settings: Settings | None = None  # in force when it arrived; None: those in force when it is accepted
 
 
 @dataclass(slots=True)
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -4,7 +4,7 @@
 
 import math
 
-from indigokeel.balancing.settings import Idempotency, Settings
+from indigokeel.balancing.settings import ClassSettings, Idempotency, Settings
 from indigokeel.requests.effects import Effects, FinalAnswer, FinalStatus, Request
 from indigokeel.requests.open_request import OpenRequest
 from indigokeel.requests.timer_queue import TimerQueue
@@ -41,22 +41,17 @@
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply new settings to the requests that arrive after this call."""
-        self._limits = settings.limits
-        self._latency_objectives = {cls.name: cls.latency_objective for cls in settings.classes}
-        self._idempotency_windows = {
-            cls.name: cls.idempotency_window
-            for cls in settings.classes
-            if cls.idempotency is Idempotency.KEYED
-        }
+        self._settings = settings
 
     def is_full(self) -> bool:
         """Return True if the limit on unanswered requests (``max_open_requests``) is reached."""
-        return self.unanswered >= self._limits.max_open_requests
+        return self.unanswered >= self._settings.limits.max_open_requests
 
     def reject_for_capacity(self, request: Request) -> FinalAnswer:
         """Return the final answer of a request that arrives while ``is_full``."""
         unserved = Unserved(UnservedCause.OVERLOAD, request.class_name)
-        return FinalAnswer(request.id, FinalStatus.REJECTED, self._limits.max_retry_after, unserved=unserved)
+        retry_after_s = self._settings.limits.max_retry_after
+        return FinalAnswer(request.id, FinalStatus.REJECTED, retry_after_s, unserved=unserved)
 
     def get(self, request_id: str) -> OpenRequest | None:
         """Return the open request with this id, or None."""
@@ -71,19 +66,20 @@
         return unanswered
 
     def open(self, now: float, request: Request) -> OpenRequest:
-        """Record a request that has just arrived; raise ValueError if its id is in use."""
+        """Record a request that is accepted now; raise ValueError if its id is in use."""
         if request.id in self._requests:
             raise ValueError(f"a request of this id is open: {request.id}")
-        time_limit = self._time_limit(request)
+        settings = request.settings or self._settings
+        class_settings = settings.find_class(request.class_name)
         open_request = OpenRequest(
             id=request.id,
             class_name=request.class_name,
             received_at=now,
             respond_by=self._answer_by,
             answer_by=self._answer_by,
-            idempotency_window=self._idempotency_windows.get(request.class_name, math.inf),
-            max_attempts=self._limits.max_attempts,
-            time_limit=time_limit,
+            idempotency_window=_idempotency_window(class_settings),
+            max_attempts=settings.limits.max_attempts,
+            time_limit=_time_limit(request, class_settings),
             body_streamed=request.body_streamed,
             budget_limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.queued_s > _MIN_DELAY_BY_CLIENT_S,
@@ -95,15 +91,6 @@
         self.unanswered += 1
         return open_request
 
-    def _time_limit(self, request: Request) -> float:
-        """Return the seconds within which the final answer is given, at least half of the client's limit.
-
-        Only the shorter margin may reduce them below the latency objective.
-        """
-        objective = self._latency_objectives.get(request.class_name, 0.0)
-        within_objective = min(objective, request.budget - MIN_RESPONSE_MARGIN_S)
-        return max(request.budget - RESPONSE_MARGIN_S, within_objective, request.budget / 2.0)
-
     def mark_answered(self, request: OpenRequest) -> None:
         """Record that a request needs no answer any more."""
         request.answered = True
@@ -128,3 +115,20 @@
             request.closed = True
             self._requests.pop(request.id, None)
             self._timers.drop_timers_of(request)
+
+
+def _idempotency_window(class_settings: ClassSettings | None) -> float:
+    """Return the seconds after the first attempt in which a retry may be sent."""
+    if class_settings is None or class_settings.idempotency is not Idempotency.KEYED:
+        return math.inf
+    return class_settings.idempotency_window
+
+
+def _time_limit(request: Request, class_settings: ClassSettings | None) -> float:
+    """Return the seconds within which the final answer is given, at least half of the client's limit.
+
+    Only the shorter margin may reduce them below the latency objective.
+    """
+    objective = 0.0 if class_settings is None else class_settings.latency_objective
+    within_objective = min(objective, request.budget - MIN_RESPONSE_MARGIN_S)
+    return max(request.budget - RESPONSE_MARGIN_S, within_objective, request.budget / 2.0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 import pytest
 
 from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.balancing.settings import Settings
 from indigokeel.config import decode_settings
 from indigokeel.endpoints.endpoint_list import EndpointList
 from indigokeel.metrics import Counters
@@ -70,9 +71,11 @@
     """A request handler that is overloaded: sheds requests of class view, and those with over 1 s left."""
 
     closing, overloaded = False, True
-    settings = decode_settings(peers.SETTINGS)
     asked = 0
 
+    def settings_for(self, class_name: str, earliest: float, latest: float) -> Settings:
+        return decode_settings(peers.SETTINGS)
+
     def shed_early(
         self, connection: ClientConnection, arrived: float, class_name: str, budget: float
     ) -> float | None:
--- a/tests/unit/net/downstream/test_client_connection.py
+++ b/tests/unit/net/downstream/test_client_connection.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.balancing.settings import Settings
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_connection import ClientConnection, FinalResponse
 from indigokeel.net.messages import OutboundRequest, UpstreamResponse
@@ -69,6 +71,12 @@
 
     def __init__(self) -> None:
         self.requests: list[OutboundRequest] = []
+        self.arrival = (0.0, 0.0)  # the times between which the newest request arrived
+
+    def settings_for(self, class_name: str, earliest: float, latest: float) -> Settings:
+        """Record when a request arrived."""
+        self.arrival = (earliest, latest)
+        return super().settings_for(class_name, earliest, latest)
 
     def shed_early(self, *arguments: Any) -> float | None:
         """Shed nothing."""
@@ -167,3 +175,18 @@
     assert upstream.is_paused
     client.connection.resume_writing()
     assert not upstream.is_paused
+
+
+@pytest.mark.parametrize("is_waiting", [True, False])
+def test_request_that_waits_unread_during_a_reload_may_have_arrived_before_it(
+    client: ScriptedConnection, is_waiting: bool
+) -> None:
+    """Guards against the new settings for a request that was taken under the previous ones."""
+    raw = request("view")
+    if is_waiting:
+        client.transport.ends[1].sendall(raw)
+    reloaded_at = time.monotonic()
+    client.connection.record_unread_input(reloaded_at)
+    client.connection.data_received(raw)
+    assert (client.handler.arrival[0] <= reloaded_at) is is_waiting
+    assert reloaded_at < client.handler.arrival[1]
--- a/tests/unit/net/downstream/test_pipeline.py
+++ b/tests/unit/net/downstream/test_pipeline.py
@@ -12,7 +12,7 @@
     pipeline, sent, received = Pipeline(), b"", b""
     for number, size in enumerate(sizes):
         data = bytes([number]) * size
-        pipeline.append_bytes(data, 0.0)
+        pipeline.append_bytes(data, 0.0, 0.0)
         sent += data
         received += bytes(pipeline.next_slice(number))
     while pipeline.has_unparsed_bytes():
--- a/tests/unit/net/downstream/test_request_decoder.py
+++ b/tests/unit/net/downstream/test_request_decoder.py
@@ -23,7 +23,7 @@
 def read(target: str, method: str = "POST", **header_changes: str | None) -> ReceivedRequest:
     headers = {**VALID_HEADERS, **{name.replace("_", "-"): value for name, value in header_changes.items()}}
     pairs = {n.lower().encode(): value.encode() for n, value in headers.items() if value is not None}
-    return read_request(method.encode(), target.encode(), pairs, decode_settings(SETTINGS))
+    return read_request(method.encode(), target.encode(), pairs, lambda name: decode_settings(SETTINGS))
 
 
 def test_request_is_decoded() -> None:
--- a/tests/unit/net/test_endless_messages.py
+++ b/tests/unit/net/test_endless_messages.py
@@ -63,7 +63,7 @@
 def make_request_parser() -> RequestParser:
     """Return a parser whose callbacks are ignored."""
     settings = decode_settings(SETTINGS)
-    return RequestParser(cast(RequestParserHandler, IgnoringHandler()), lambda: settings)
+    return RequestParser(cast(RequestParserHandler, IgnoringHandler()), lambda name: settings)
 
 
 def bytes_until_rejected(
