--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -16,9 +16,11 @@
 
 import pytest
 
+from indigokeel.balancing.settings import Settings
+from indigokeel.config import decode_settings
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_connection import ClientConnection, Handler
-from tests.peers import Message, Program, ok, read_response, request, running, status, until
+from tests.peers import SETTINGS, Message, Program, ok, read_response, request, running, status, until
 from tests.test_endings import DISCONNECTS, LARGE_BODY
 
 SOCKETS = 64  # descriptors of the process, of which 17 are for clients
@@ -152,6 +154,9 @@
 
     overloaded = closing = False
 
+    def settings_for(self, class_name: str, earliest: float, latest: float) -> Settings:
+        return decode_settings(SETTINGS)
+
     def connection_opened(self, connection: ClientConnection) -> None:
         self.connection = connection
 
