--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -244,18 +244,12 @@
         unread_bytes = len(self._unread)
         if data:
             self._parser.feed_data(data)
-            self._check_framing(len(data), len(self._unread) > unread_bytes)
+            if self._framing_limit.is_exceeded_by(len(data), len(self._unread) > unread_bytes):
+                raise EndpointListError("response head, chunk header or trailer section too large")
         elif self._is_framed and not self._is_complete:
             raise EndpointListError("connection closed before the end of the response")
         return bool(data)
 
-    def _check_framing(self, size: int, has_body: bool) -> None:
-        """Count received bytes; raise EndpointListError if too many have arrived without one of the body."""
-        if has_body:
-            self._framing_limit.restart()
-        elif self._framing_limit.is_exceeded_by(size):
-            raise EndpointListError("response head, chunk header or trailer section too large")
-
     async def read_head(self) -> None:
         """Read until the head of the final response is complete."""
         while self.status < 200:
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -57,7 +57,6 @@
         "_timer",
         "_transport",
         "error_pause",
-        "last_read_at",
         "paused_at",
         "stopped",
     )
@@ -81,7 +80,6 @@
         self._consecutive_errors = 0
         self._timer: asyncio.TimerHandle | None = None  # ends the pause after errors
         self.error_pause = False
-        self.last_read_at = 0.0  # monotonic seconds
         self.paused_at = 0.0  # monotonic seconds since which reading is paused, or 0.0
         self.stopped = False  # nothing is ever parsed again
 
@@ -90,11 +88,10 @@
         self._transport = transport
 
     def on_read(self, now: float) -> float:
-        """Record a read; return the monotonic seconds since which its bytes may have been waiting."""
+        """Record a read at ``now``; return the monotonic seconds since which its bytes may have waited."""
         arrived_at = self._backlog_since or now
         if self._parser.request_stream is None:  # else ``regulate`` finds out whether more is waiting
             self._backlog_since = 0.0
-        self.last_read_at = now
         return arrived_at
 
     def record_unread_input(self, now: float) -> None:
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -48,7 +48,7 @@
         """Return the seconds since the last byte of a partially received request, or 0.0 without one."""
         if not self.parser.in_message or self.flow.paused_at:
             return 0.0
-        return now - self.flow.last_read_at
+        return now - self.pipeline.read_at
 
     def has_more_requests(self) -> bool:
         """Return whether anything was read after the request being served."""
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -100,9 +100,8 @@
             raise (error.__context__ or error) from None
         except httptools.HttpParserError as error:
             raise RequestError(400, str(error)) from None
-        if self.messages_parsed > parsed_before or self.body_bytes != body_bytes_before:
-            self._framing_limit.restart()
-        elif self.in_message and self._framing_limit.is_exceeded_by(len(data)):
+        has_ended = self.messages_parsed > parsed_before or not self.in_message
+        if self._framing_limit.is_exceeded_by(len(data), has_ended or self.body_bytes != body_bytes_before):
             raise RequestError(431, "the head, a chunk header or the trailer section is too large")
 
     def stop(self) -> None:
--- a/indigokeel/net/framing_limit.py
+++ b/indigokeel/net/framing_limit.py
@@ -18,11 +18,10 @@
     def __init__(self) -> None:
         self._bytes = 0
 
-    def restart(self) -> None:
-        """Start to count anew: a part of a body has arrived, or a message has ended."""
-        self._bytes = 0
+    def is_exceeded_by(self, size: int, has_progress: bool) -> bool:
+        """Count received bytes; return whether too many have arrived since the last progress.
 
-    def is_exceeded_by(self, size: int) -> bool:
-        """Count received bytes without any of a body among them; return whether there are too many."""
-        self._bytes += size
+        ``has_progress`` is whether a part of a body or the end of a message is among them.
+        """
+        self._bytes = 0 if has_progress else self._bytes + size
         return self._bytes > http.MAX_HEAD
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -81,9 +81,7 @@
             self._tail = (self._tail + data[-len(_LAST_CHUNK) :])[-len(_LAST_CHUNK) :]
         if self.complete:
             self.is_reusable = self._keeps_alive and self._ends_with_response()
-        elif self._body_bytes > body_bytes:
-            self._framing_limit.restart()
-        elif self._framing_limit.is_exceeded_by(len(data)):
+        elif self._framing_limit.is_exceeded_by(len(data), self._body_bytes > body_bytes):
             raise InvalidResponseError(
                 "the response head, a chunk header or the trailer section is too large"
             )
--- a/indigokeel/process/settings_history.py
+++ b/indigokeel/process/settings_history.py
@@ -32,14 +32,10 @@
         """
         if not self._earlier or earliest > self._earlier[-1][0]:
             return self.current
-        chosen = self.current
-        strictness = -1
-        for settings in self._in_force(earliest, latest):
-            class_settings = settings.find_class(name)
-            if class_settings is not None and _strictness(class_settings) > strictness:
-                chosen = settings
-                strictness = _strictness(class_settings)
-        return chosen
+        return max(
+            self._in_force(earliest, latest),
+            key=lambda settings: _strictness(settings.find_class(name)),
+        )
 
     def _in_force(self, earliest: float, latest: float) -> list[Settings]:
         """Return the settings that were in force at any time between two times, the oldest first."""
@@ -52,5 +48,6 @@
         return [*found, self.current]
 
 
-def _strictness(class_settings: ClassSettings) -> int:
-    return _STRICTNESS[class_settings.idempotency]
+def _strictness(class_settings: ClassSettings | None) -> int:
+    """Return a figure that is the larger the less requests may be repeated, -1 without a class."""
+    return -1 if class_settings is None else _STRICTNESS[class_settings.idempotency]
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -386,6 +386,25 @@
     return head.encode() + b"\r\n" + (body or b"")
 
 
+@contextlib.contextmanager
+def running_with(
+    tmp: Path,
+    *entries: dict[str, Any],
+    sockets: int = 256,
+    discovery: DiscoveryServer | None = None,
+    **more: Any,
+) -> Iterator[Program]:
+    """Run the program with these entries of the endpoint list."""
+    discovery = discovery or DiscoveryServer()
+    program = Program(tmp, make_endpoint_list(*entries), discovery.port, sockets, **more)
+    try:
+        yield program
+    finally:
+        program.process.kill()
+        program.process.wait()
+        discovery.close()
+
+
 @contextlib.contextmanager
 def running(
     tmp: Path,
@@ -397,12 +416,10 @@
     """Run the program with the upstreams s-0, s-1 ... of one replica group: peers, or scripts for them."""
     upstreams = [script if isinstance(script, Peer) else Peer(script) for script in scripts]
     discovery = discovery or DiscoveryServer()
-    known = make_endpoint_list(*(entry(f"s-{i}", upstream.port) for i, upstream in enumerate(upstreams)))
-    program = Program(tmp, known, discovery.port, sockets, **more)
+    entries = [entry(f"s-{i}", upstream.port) for i, upstream in enumerate(upstreams)]
     try:
-        yield program, upstreams, discovery
+        with running_with(tmp, *entries, sockets=sockets, discovery=discovery, **more) as program:
+            yield program, upstreams, discovery
     finally:
-        program.process.kill()
-        program.process.wait()
-        for peer in (*upstreams, discovery):
-            peer.close()
+        for upstream in upstreams:
+            upstream.close()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -20,13 +20,10 @@
     LONG_RESPONSE_SIZE,
     OPEN_CHUNKED_RESPONSE,
     TIMEOUT_S,
-    DiscoveryServer,
     Message,
-    Program,
     RawUpstream,
     echo,
     entry,
-    make_endpoint_list,
     ok,
     peak_rss_kb,
     program_rss_kb,
@@ -34,6 +31,7 @@
     read_response,
     request,
     running,
+    running_with,
     send_long_response,
     until,
 )
@@ -389,22 +387,15 @@
     closed = socket.create_server(("127.0.0.1", 0))
     port = closed.getsockname()[1]
     closed.close()
-    discovery = DiscoveryServer()
-    program = Program(tmp_path, make_endpoint_list(entry("s-0", port)), discovery.port, 256)
-    try:
-        with program.connect() as conn:
-            file = conn.makefile("rb")
-            raw = request("pay", LONG_BODY)
-            conn.sendall(raw[:300_000])
-            code, answer = read_response(file)  # before the rest is sent
-            assert code == 503 and "retry-after" in answer.headers
-            conn.sendall(raw[300_000:])
-            conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
-            assert read_response(file)[0] == 200
-    finally:
-        program.process.kill()
-        program.process.wait()
-        discovery.close()
+    with running_with(tmp_path, entry("s-0", port)) as program, program.connect() as conn:
+        file = conn.makefile("rb")
+        raw = request("pay", LONG_BODY)
+        conn.sendall(raw[:300_000])
+        code, answer = read_response(file)  # before the rest is sent
+        assert code == 503 and "retry-after" in answer.headers
+        conn.sendall(raw[300_000:])
+        conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert read_response(file)[0] == 200
 
 
 def test_long_request_waits_for_the_request_before_it_on_its_connection(tmp_path: Path) -> None:
--- a/tests/test_long_request_endings.py
+++ b/tests/test_long_request_endings.py
@@ -6,15 +6,13 @@
 import socket
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 from tests.peers import (
-    DiscoveryServer,
     Program,
     entry,
-    make_endpoint_list,
     read_response,
     request,
+    running_with,
     until,
 )
 
@@ -31,19 +29,6 @@
         yield server.getsockname()[1]
 
 
-@contextlib.contextmanager
-def program_with(tmp: Path, *entries: dict[str, Any]) -> Iterator[Program]:
-    """Run the program with a list of upstreams that the test does not start."""
-    discovery = DiscoveryServer()
-    program = Program(tmp, make_endpoint_list(*entries), discovery.port, 256)
-    try:
-        yield program
-    finally:
-        program.process.kill()
-        program.process.wait()
-        discovery.close()
-
-
 FIRST_BYTES, REST_BYTES = 66_000, 10_000  # streamed, and together more than is buffered
 
 
@@ -61,11 +46,11 @@
 
 def test_request_behind_a_long_one_without_a_connection_is_answered(tmp_path: Path) -> None:
     """Guards against a pause that outlasts its request: the next one on the connection was never read."""
-    with full_listener() as port, program_with(tmp_path, entry("s-0", port)) as program:
+    with full_listener() as port, running_with(tmp_path, entry("s-0", port)) as program:
         assert_next_request_is_answered(program)
 
 
 def test_request_behind_a_long_one_without_an_upstream_is_answered(tmp_path: Path) -> None:
     """Guards against the same pause while a request waits for an upstream to become available."""
-    with program_with(tmp_path, entry("s-0", 9, "Terminating")) as program:
+    with running_with(tmp_path, entry("s-0", 9, "Terminating")) as program:
         assert_next_request_is_answered(program)
