Bound the work of one event loop turn, whatever pieces bytes come in

Cause: httptools calls back for each chunk, and each call passed its byte on by itself: joined, framed and written with a system call. Nothing bounded what one connection, or all of them, had parsed in one turn of the event loop: 250 kB a read from each client, 64 KiB from each upstream.

Change: parts of a body that are parsed together are handled together. A read takes 16 KiB from a client (into one buffer that all connections share) or an upstream. Paused reading, deadlines and settings of waiting input are those that a full pipeline had already.

--- a/indigokeel/net/downstream/client_connection.py
+++ b/indigokeel/net/downstream/client_connection.py
@@ -16,6 +16,7 @@
 from indigokeel.net.downstream.request_dispatcher import RequestDispatcher
 from indigokeel.net.downstream.request_handler import FinalResponse as FinalResponse
 from indigokeel.net.downstream.request_handler import RequestHandler
+from indigokeel.net.downstream.resources import ClientResources
 from indigokeel.net.http import RequestError
 
 _SHUTDOWN_ERROR = RequestError(503, "the process ends")
@@ -23,7 +24,7 @@
 _EVICTION_ERROR = RequestError(503, "there is no room for a message that comes slowly")
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Pass the events of a client's connection on to the parts that handle them.
 
     The parts refer to the connection weakly, so that reference counting frees it as soon as it is lost.
@@ -36,19 +37,21 @@
         "_dispatcher",
         "_handler",
         "_input",
+        "_read_buffer",
         "_timeouts",
         "_writer",
         "fd",
         "has_received_data",
     )
 
-    def __init__(self, handler: Handler, counters: Counters) -> None:
+    def __init__(self, handler: Handler, counters: Counters, resources: ClientResources) -> None:
         self._handler = handler
         self._counters = counters
+        self._read_buffer = resources.read_buffer
         owner = cast(Callable[[], ClientConnection], weakref.ref(self))
         self._timeouts = ClientTimeouts()
         self._dispatcher: RequestDispatcher[ClientConnection] = RequestDispatcher(
-            owner, handler, counters, self._timeouts
+            owner, handler, counters, self._timeouts, resources.scheduler
         )
         self._input = self._dispatcher.input
         self._writer = self._dispatcher.writer
@@ -78,8 +81,16 @@
         self._timeouts.restart(time.monotonic())
         self._handler.connection_opened(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse the input, and serve the requests in it."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next input is read into."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take input out of the buffer, which all connections share."""
+        self.receive(bytes(self._read_buffer[:nbytes]))
+
+    def receive(self, data: bytes) -> None:
+        """Parse input, and serve the requests in it."""
         request_input = self._input
         if request_input.flow.stopped:
             self._close.discard(data)
@@ -92,8 +103,7 @@
         if self._handler.overloaded and self._dispatcher.is_idle() and self._shed(data):
             return
         request_input.pipeline.append_bytes(data, arrived_at, now)
-        request_input.flow.parse()
-        self._dispatcher.process_pipeline()
+        request_input.flow.process()
 
     def _shed(self, data: bytes) -> bool:
         """Reject a complete request without parsing it, if the sidecar sheds load; return whether it does.
--- a/indigokeel/net/downstream/flow_control.py
+++ b/indigokeel/net/downstream/flow_control.py
@@ -9,9 +9,10 @@
 
 from indigokeel.net import http
 from indigokeel.net.downstream.client_timeouts import ClientTimeouts
-from indigokeel.net.downstream.pipeline import MAX_QUEUED_REQUESTS, Pipeline
+from indigokeel.net.downstream.pipeline import MAX_QUEUED_REQUESTS, SLICE_BYTES, Pipeline
 from indigokeel.net.downstream.request_parser import RequestParser
 from indigokeel.net.http import RequestError
+from indigokeel.net.turn_scheduler import TurnScheduler
 
 # Without pauses, a client that repeats an invalid request after each response would occupy the event loop.
 _ERRORS_PER_PAUSE = 16
@@ -53,6 +54,7 @@
         "_parser",
         "_pipeline",
         "_scheduled",
+        "_scheduler",
         "_timeouts",
         "_timer",
         "_transport",
@@ -68,12 +70,14 @@
         pipeline: Pipeline,
         body_backpressure: BodyBackpressure,
         timeouts: ClientTimeouts,
+        scheduler: TurnScheduler,
     ) -> None:
         self._handler = handler
         self._parser = parser
         self._pipeline = pipeline
         self._body_backpressure = body_backpressure
         self._timeouts = timeouts
+        self._scheduler = scheduler
         self._transport: asyncio.Transport
         self._scheduled = False  # parsing is under way or scheduled
         self._backlog_since = 0.0  # monotonic seconds since which the next bytes may have waited, or 0.0
@@ -118,10 +122,25 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def parse(self) -> None:
-        """Parse the queued bytes, in one call up to as many requests as the pipeline holds.
+    def process(self) -> None:
+        """Parse the queued bytes and serve the requests found, now or once the event loop has time."""
+        if self._scheduled:
+            return
+        self._scheduled = True
+        self._scheduler.run(self._process_now, self._pipeline.unparsed_bytes() <= SLICE_BYTES)
+        if self._scheduled:
+            self.regulate()
+
+    def _process_now(self) -> None:
+        self._scheduled = False
+        if not self.stopped:
+            self._parse()
+            self._handler.process_pipeline()
 
-        The limit keeps one client from occupying the event loop.
+    def _parse(self) -> None:
+        """Parse the queued bytes: a slice, and more of them while the turn of the event loop has time.
+
+        At most as many requests are parsed as the pipeline holds.
         """
         self._scheduled = True
         queued_before = self._pipeline.total_queued
@@ -130,18 +149,14 @@
                 self._parser.feed(self._pipeline.next_slice(self._parser.remaining_body_bytes()))
                 if self._pipeline.total_queued - queued_before >= MAX_QUEUED_REQUESTS:
                     break
+                if not self._scheduler.has_time():
+                    break
         except RequestError as error:
             self._handler.on_read_error(error)
         except Exception as error:  # an internal error must not affect other connections
             self._handler.on_read_fault(error)
         self._scheduled = False
 
-    def _parse_scheduled(self) -> None:
-        """Parse in a later turn of the event loop, and serve the requests found."""
-        if not self.stopped:
-            self.parse()
-            self._handler.process_pipeline()
-
     def _is_blocked(self) -> bool:
         """Return whether parsed input has to be processed before more is parsed."""
         return self._body_backpressure.is_blocked or self.error_pause or self._pipeline.is_full()
@@ -155,7 +170,7 @@
             self.pause()
             if not blocked and not self._scheduled:
                 self._scheduled = True
-                asyncio.get_running_loop().call_soon(self._parse_scheduled)
+                self._scheduler.run_later(self._process_now)
         elif self.paused_at:
             self._end_pause()
         elif self._backlog_since:
--- a/indigokeel/net/downstream/listener.py
+++ b/indigokeel/net/downstream/listener.py
@@ -38,7 +38,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         listener: socket.socket,
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BufferedProtocol | asyncio.Protocol],
         counters: Counters,
         free_descriptors: Callable[[], None] | None = None,
     ) -> None:
--- a/indigokeel/net/downstream/pipeline.py
+++ b/indigokeel/net/downstream/pipeline.py
@@ -14,7 +14,7 @@
 from indigokeel.net.http import RequestError
 
 MAX_QUEUED_REQUESTS = 8  # behind the one being served; at this number reading pauses
-_SLICE_BYTES = 2 * 1024  # parsed at a time, in addition to the rest of a body
+SLICE_BYTES = 2 * 1024  # parsed at a time, in addition to the rest of a body
 _CHUNKED_BODY_SLICE_BYTES = 16 * 1024  # parsed at a time within a chunked body, whose end is not known
 
 
@@ -83,6 +83,10 @@
         """Return whether bytes are waiting to be parsed."""
         return bool(self._bytes)
 
+    def unparsed_bytes(self) -> int:
+        """Return the number of bytes that are waiting to be parsed."""
+        return len(self._bytes) - self._start
+
     def append_bytes(self, data: bytes, arrived_at: float, read_at: float) -> None:
         """Queue bytes that were read and may have arrived at ``arrived_at``, in monotonic seconds."""
         self.arrived_at = arrived_at
@@ -96,7 +100,7 @@
         ``remaining_body_bytes`` is the number of bytes up to the end of the current body: 0 outside of
         bodies, -1 in a chunked one.
         """
-        size = _CHUNKED_BODY_SLICE_BYTES if remaining_body_bytes < 0 else remaining_body_bytes + _SLICE_BYTES
+        size = _CHUNKED_BODY_SLICE_BYTES if remaining_body_bytes < 0 else remaining_body_bytes + SLICE_BYTES
         start = self._start
         end = start + size
         if end < len(self._bytes):
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -18,6 +18,7 @@
 from indigokeel.net.downstream.response_writer import ResponseWriter
 from indigokeel.net.http import RequestError
 from indigokeel.net.streams import RequestStream
+from indigokeel.net.turn_scheduler import TurnScheduler
 from indigokeel.requests.effects import FinalStatus
 from indigokeel.requests.open_requests import RESPONSE_MARGIN_S
 
@@ -64,13 +65,14 @@
         handler: RequestHandler[ConnectionT],
         counters: Counters,
         timeouts: ClientTimeouts,
+        scheduler: TurnScheduler,
     ) -> None:
         """Create the dispatcher of the connection that ``connection`` returns."""
         self._connection = connection
         self._handler = handler
         self._counters = counters
         dispatcher = weakref.proxy(self)
-        self.input = RequestInput(dispatcher, handler.settings_for, timeouts)
+        self.input = RequestInput(dispatcher, handler.settings_for, timeouts, scheduler)
         self.writer = ResponseWriter(dispatcher, timeouts, counters)
         self.exchange = CurrentExchange(connection, handler, counters, self.input, self.writer, timeouts)
         self._processing = False
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -15,6 +15,7 @@
 from indigokeel.net.downstream.request_receiver import RequestReceiver, RequestReceiverHandler
 from indigokeel.net.http import RequestError
 from indigokeel.net.streams import RequestStream
+from indigokeel.net.turn_scheduler import TurnScheduler
 
 
 class RequestInputHandler(FlowControlHandler, RequestReceiverHandler, Protocol):
@@ -31,12 +32,13 @@
         handler: RequestInputHandler,
         settings_for: Callable[[str, float, float], Settings],
         timeouts: ClientTimeouts,
+        scheduler: TurnScheduler,
     ) -> None:
         """``settings_for`` is ``RequestHandler.settings_for``."""
         self.pipeline = Pipeline()
         self._receiver = RequestReceiver(handler, self.pipeline, timeouts)
         self.parser = RequestParser(self._receiver, partial(_settings_for, self.pipeline, settings_for))
-        self.flow = ReadFlow(handler, self.parser, self.pipeline, self._receiver, timeouts)
+        self.flow = ReadFlow(handler, self.parser, self.pipeline, self._receiver, timeouts, scheduler)
         self.read_error: RequestError | None = None  # reported after the responses to the requests before it
         self.continue_expected = False  # ``100 Continue`` is due once the requests before are served
 
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -58,6 +58,7 @@
         "_handler",
         "_headers",
         "_parser",
+        "_pieces",
         "_received",
         "_settings_for",
         "_target",
@@ -79,6 +80,7 @@
         self._framing_limit = FramingLimit()
         self._content_length = -1  # -1: a chunked body, or none
         self._received: ReceivedRequest | None = None
+        self._pieces: list[bytes] = []  # of the body, from the bytes that are being parsed
         self.messages_parsed = 0
         self.in_message = False
         self.in_head = False
@@ -96,6 +98,7 @@
         body_bytes_before = self.body_bytes
         try:
             self._parser.feed_data(data)
+            self._handle_pieces()
         except httptools.HttpParserCallbackError as error:
             raise (error.__context__ or error) from None
         except httptools.HttpParserError as error:
@@ -113,6 +116,7 @@
         self.in_message = False
         self.in_head = False
         self._received = None
+        self._pieces = []
         self.request_stream = None
 
     def remaining_body_bytes(self) -> int:
@@ -193,8 +197,20 @@
         self._handler.on_invalid_request(queued, self._parser.should_keep_alive())
 
     def on_body(self, data: bytes) -> None:
-        """Buffer, stream or discard a part of the body. Raises RequestError if the body is too large."""
+        """Collect a part of the body.
+
+        Its parts are handled together: a body may come in chunks of one byte.
+        """
         self.body_bytes += len(data)
+        self._pieces.append(data)
+
+    def _handle_pieces(self) -> None:
+        """Buffer, stream or discard what was collected. Raises RequestError if the body is too large."""
+        pieces = self._pieces
+        if not pieces:
+            return
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        pieces.clear()
         if self.request_stream is not None or self.already_responded:
             if self.body_bytes > http.MAX_REQUEST_BODY:
                 raise RequestError(413, "the body is too large")
@@ -219,6 +235,7 @@
     def on_message_complete(self) -> None:
         """Report the end of a message."""
         assert self._parser is not None
+        self._handle_pieces()
         self.in_message = False
         self.messages_parsed += 1
         keep_alive = self._parser.should_keep_alive()
--- /dev/null
+++ b/indigokeel/net/downstream/resources.py
@@ -0,0 +1,18 @@
+"""What the client connections of a process share, other than the handler of their requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from indigokeel.net.turn_scheduler import TurnScheduler
+
+# At most, per read. A connection that must not be read any further holds no more than this unparsed.
+READ_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ClientResources:
+    """The scheduler of parsing, and the buffer that input is read into."""
+
+    scheduler: TurnScheduler
+    read_buffer: memoryview = field(default_factory=lambda: memoryview(bytearray(READ_BYTES)))
--- a/indigokeel/net/upstream/client.py
+++ b/indigokeel/net/upstream/client.py
@@ -9,7 +9,7 @@
 from indigokeel.metrics import Counters
 from indigokeel.net.messages import OutboundRequest, UpstreamResponse
 from indigokeel.net.upstream.attempt_sender import AttemptSender, AttemptServices, OnEnded
-from indigokeel.net.upstream.connection_pool import ConnectionPool, PoolOptions
+from indigokeel.net.upstream.connection_pool import ConnectionPool, PoolOptions, ScheduleRead, read_now
 from indigokeel.net.upstream.connection_releaser import ConnectionReleaser
 from indigokeel.net.upstream.connection_table import ConnectionLimits
 from indigokeel.net.upstream.health_check import HealthChecker, HealthCheckResult
@@ -40,6 +40,7 @@
     max_connections: int
     seed: int = 0  # for the jitter of circuit breakers and connect backoff
     preconnects: bool = False  # whether to connect to a new upstream before its first attempt
+    schedule_read: ScheduleRead = read_now  # when the responses are read
 
 
 class UpstreamClient:
@@ -58,7 +59,12 @@
             ConnectionLimits.of(options.max_connections),
             UpstreamExchange,
             Telemetry(counters.add, lambda level, text: counters.log(text, level), time.monotonic),
-            PoolOptions(options.seed, options.connect_timeout_s, options.keepalive_s * _MAX_IDLE_RATIO),
+            PoolOptions(
+                options.seed,
+                options.connect_timeout_s,
+                options.keepalive_s * _MAX_IDLE_RATIO,
+                schedule_read=options.schedule_read,
+            ),
         )
         releaser = ConnectionReleaser(self.connections, coordinator.address)
         self._health_checker = HealthChecker(
--- a/indigokeel/net/upstream/connection.py
+++ b/indigokeel/net/upstream/connection.py
@@ -12,7 +12,7 @@
 import os
 import select
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -59,6 +59,9 @@
     def on_handler_error(self, error: Exception) -> None:
         """Handle an unexpected exception in a connection's handler."""
 
+    def schedule_read(self, read: Callable[[], None], is_small: bool) -> None:
+        """Call ``read`` now, or once the event loop has time; ``is_small`` if little data is expected."""
+
     def on_unexpected_data(self, connection: UpstreamConnection) -> None:
         """Handle bytes that belong to no response; the connection is closed afterwards."""
 
@@ -217,6 +220,10 @@
         """Return whether a response may be expected (ReadHandler)."""
         return self.state is ConnectionState.IN_USE
 
+    def schedule_read(self, read: Callable[[], None], is_small: bool) -> None:
+        """Call ``read`` now, or once the event loop has time (ReadHandler)."""
+        self._owner.schedule_read(read, is_small)
+
     def on_all_written(self) -> None:
         """Notify the handler that all bytes are written (WriteHandler)."""
         try:
--- a/indigokeel/net/upstream/connection_pool.py
+++ b/indigokeel/net/upstream/connection_pool.py
@@ -24,14 +24,26 @@
 _STRAY_LOG_INTERVAL_S = 10.0
 
 
+ScheduleRead = Callable[[Callable[[], None], bool], None]  # see ``ConnectionOwner.schedule_read``
+
+
+def read_now(read: Callable[[], None], _is_small: bool) -> None:
+    """Read at once, without a limit on the reads in one turn of the event loop."""
+    read()
+
+
 @dataclass(frozen=True, slots=True)
 class PoolOptions:
-    """The settings of a pool. ``max_calls`` is the maximum number of concurrent calls on a connection."""
+    """The settings of a pool. ``max_calls`` is the maximum number of concurrent calls on a connection.
+
+    ``schedule_read`` is ``TurnScheduler.run``.
+    """
 
     seed: int = 0
     connect_timeout_s: float = 0.25
     max_idle_s: float = 15.0
     max_calls: int = 1
+    schedule_read: ScheduleRead = read_now
 
 
 class ConnectionPool:
@@ -52,6 +64,7 @@
         self._telemetry = telemetry
         self._max_idle_s = options.max_idle_s
         self._max_calls = options.max_calls
+        self.schedule_read = options.schedule_read
         self._stray_logged_at = -math.inf
         self._queue = WaiterQueue()
         self._connector = Connector(
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -37,8 +37,8 @@
 
     __slots__ = (
         "__weakref__", "_body_bytes", "_body_start", "_ends_at_eof", "_framing_limit", "_head",
-        "_interim_responses", "_keeps_alive", "_parser", "_received_bytes", "_streams_body", "_tail", "body",
-        "chunked", "complete", "headers", "is_reusable", "length", "status",
+        "_interim_responses", "_keeps_alive", "_parser", "_pieces", "_received_bytes", "_streams_body",
+        "_tail", "body", "chunked", "complete", "headers", "is_reusable", "length", "status",
     )  # fmt: skip
 
     def __init__(self, streams_body: bool = True) -> None:
@@ -49,6 +49,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._body_start = -1
+        self._pieces: list[bytes] = []  # of the body, from the bytes that are being parsed
         self._head = b""  # the bytes received until the end of the head is found
         self._tail = b""  # the last received bytes of a chunked body
         self._keeps_alive = False
@@ -74,7 +75,9 @@
                 not self.complete
             ):  # after a complete response, an error only makes the connection not reusable
                 raise InvalidResponseError(str(error)) from None
+            self._store_pieces()
             return
+        self._store_pieces()
         if self._body_start < 0:
             self._find_body_start()
         if self.chunked:
@@ -109,12 +112,23 @@
         self._check_body_size(self.length)
 
     def on_body(self, data: bytes) -> None:
-        """Store a part of the body; raises InvalidResponseError if it is too large to be stored."""
+        """Collect a part of the body."""
         if self.complete:
             return
         self._body_bytes += len(data)
+        self._pieces.append(data)
+
+    def _store_pieces(self) -> None:
+        """Store what was collected; raises InvalidResponseError if the body is too large to be stored.
+
+        The parts are joined: a body may come in chunks of one byte.
+        """
+        pieces = self._pieces
+        if not pieces:
+            return
+        self._pieces = []
         self._check_body_size(self._body_bytes)
-        http.append_part(self.body, data)
+        http.append_part(self.body, pieces[0] if len(pieces) == 1 else b"".join(pieces))
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it is an interim response."""
--- a/indigokeel/net/upstream/socket_reader.py
+++ b/indigokeel/net/upstream/socket_reader.py
@@ -5,12 +5,13 @@
 import asyncio
 import select
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from indigokeel.net.errors import ErrorCategory, SocketOperation, classify_errno
 from indigokeel.net.upstream.backoff import LocalRetryDelays
 
-_READ_BYTES = 64 * 1024  # at most, per read
+_READ_BYTES = 16 * 1024  # at most, per read
 
 
 class ReadHandler(Protocol):
@@ -25,11 +26,17 @@
     def expects_data(self) -> bool:
         """Return whether a response may be expected."""
 
+    def schedule_read(self, read: Callable[[], None], is_small: bool) -> None:
+        """Call ``read`` now, or once the event loop has time; ``is_small`` if little data is expected."""
+
 
 class SocketReader:
     """Reads from one socket. Reading can be paused, and reads that fail locally are retried."""
 
-    __slots__ = ("_handler", "_loop", "_poll", "_retry_delays", "_retry_timer", "_sock", "_watching")
+    __slots__ = (
+        "_handler", "_is_read_scheduled", "_last_read_bytes", "_loop", "_poll", "_retry_delays",
+        "_retry_timer", "_sock", "_watching",
+    )  # fmt: skip
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, handler: ReadHandler, retry_delays: LocalRetryDelays
@@ -39,6 +46,8 @@
         self._sock: socket.socket | None = None
         self._poll: select.poll | None = None
         self._watching = False
+        self._is_read_scheduled = False
+        self._last_read_bytes = 0
         self._retry_timer: asyncio.TimerHandle | None = None
         self._retry_delays = retry_delays
 
@@ -79,6 +88,15 @@
             self._loop.remove_reader(self._sock.fileno())
 
     def _on_readable(self) -> None:
+        if self._is_read_scheduled:  # the event loop reports the socket again in each turn until it is read
+            return
+        self._is_read_scheduled = True
+        self._handler.schedule_read(self._read, self._last_read_bytes < _READ_BYTES)
+
+    def _read(self) -> None:
+        self._is_read_scheduled = False
+        if not self._watching:  # paused or closed since
+            return
         self._receive()
         # uvloop reports data and a reset that follows it as one event, so the socket is polled for an error
         # while a response is expected. An idle connection is checked before its next use.
@@ -95,6 +113,7 @@
             self._on_error(error)
             return
         self._retry_delays.reset()
+        self._last_read_bytes = len(data)
         if data:
             self._handler.on_data(data)
         else:
--- a/indigokeel/process/sidecar.py
+++ b/indigokeel/process/sidecar.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
 
 from indigokeel import clocks
 from indigokeel.balancing.settings import Settings
@@ -18,6 +19,8 @@
 from indigokeel.net.downstream.client_connection import ClientConnection
 from indigokeel.net.downstream.client_registry import ClientRegistry
 from indigokeel.net.downstream.listener import ClientListener
+from indigokeel.net.downstream.resources import ClientResources
+from indigokeel.net.turn_scheduler import TurnScheduler
 from indigokeel.net.upstream import DescriptorLeakDetector
 from indigokeel.net.upstream.client import UpstreamClient, UpstreamClientOptions
 from indigokeel.process.admin_service import FIRST_LIST_TIMEOUT_S, AdminService
@@ -51,6 +54,7 @@
         self._counters = Counters(config.name)
         self._supervisor = Supervisor(self._counters)
         self._coordinator = RequestCoordinator(config.settings, config.seed, clocks.unix_to_clock())
+        self._scheduler = TurnScheduler(_call_soon, time.monotonic)
         budget = ConnectionBudget.plan(config, _descriptor_limit())
         self._clients: ClientRegistry[ClientConnection] = ClientRegistry(budget.descriptors, budget.clients)
         self._upstream_client = self._make_upstream_client(config, budget)
@@ -94,6 +98,7 @@
             max_connections=budget.upstreams,
             seed=config.seed,
             preconnects=prices.connection <= 0.0 and prices.handshake <= 0.0,
+            schedule_read=self._scheduler.run,
         )
         return UpstreamClient(self._coordinator, self._counters, options)
 
@@ -200,10 +205,11 @@
             self._supervisor.keep_running("cordon store", self._persistence.keep_cordons_stored)
 
     def _accept_clients(self, loop: asyncio.AbstractEventLoop, listener: socket.socket) -> ClientListener:
+        resources = ClientResources(self._scheduler)
         clients = ClientListener(
             loop,
             listener,
-            lambda: ClientConnection(self._requests, self._counters),
+            lambda: ClientConnection(self._requests, self._counters, resources),
             self._counters,
             self._requests.evict_for_backlog,
         )
@@ -293,6 +299,11 @@
         self._supervisor.run_guarded("counters", self._counter_report.print)
 
 
+def _call_soon(task: Callable[[], None]) -> None:
+    """Call a function in the next turn of the event loop."""
+    asyncio.get_running_loop().call_soon(task)
+
+
 def _descriptor_limit() -> int | None:
     """Return the soft limit on open descriptors of this process, or None if it is unlimited."""
     soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -21,6 +21,7 @@
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_connection import ClientConnection, Handler
 from tests.peers import SETTINGS, Message, Program, ok, read_response, request, running, status, until
+from tests.support.clients import make_client_resources
 from tests.test_endings import DISCONNECTS, LARGE_BODY
 
 SOCKETS = 64  # descriptors of the process, of which 17 are for clients
@@ -169,9 +170,9 @@
 def test_request_whose_last_byte_is_unread_has_not_stalled() -> None:
     server_socket, client_socket = socket.socketpair()
     with server_socket, client_socket:
-        connection = ClientConnection(cast(Handler, _Handler()), Counters("n0"))
+        connection = ClientConnection(cast(Handler, _Handler()), Counters("n0"), make_client_resources())
         connection.connection_made(_Transport(server_socket))
-        connection.data_received(b"GET /view/k1 HT")
+        connection.receive(b"GET /view/k1 HT")
         late = time.monotonic() + 10.0
         assert connection.stalled_for(late) > 9.0 and not connection.has_unread_input()
         client_socket.sendall(b"TP/1.1\r\n\r\n")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from indigokeel.net.messages import OutboundRequest, UpstreamResponse
 from indigokeel.requests.effects import FinalStatus, Request
 from tests import peers
+from tests.support.clients import make_client_resources
 
 
 @pytest.mark.parametrize(
@@ -138,7 +139,7 @@
         server_end, client_end = socket.socketpair()
         server_end.setblocking(False)
         await asyncio.get_running_loop().create_connection(
-            lambda: ClientConnection(handler, Counters("t")), sock=server_end
+            lambda: ClientConnection(handler, Counters("t"), make_client_resources()), sock=server_end
         )
         client_end.sendall(sent)
         for _ in range(5):
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -37,6 +37,7 @@
     running,
     until,
 )
+from tests.support.clients import make_client_resources
 from tests.test_endings import HEALTH_REQUEST, HeldUpstream
 from tests.test_net import OverloadedHandler
 
@@ -265,7 +266,7 @@
     server_socket.setblocking(False)
     counters = Counters("t")
     _, connection = await asyncio.get_running_loop().create_connection(
-        lambda: ClientConnection(handler, counters), sock=server_socket
+        lambda: ClientConnection(handler, counters, make_client_resources()), sock=server_socket
     )
     return connection, client_socket, counters
 
@@ -439,7 +440,7 @@
 def test_connection_that_is_never_made_is_freed_without_the_garbage_collector() -> None:
     gc.disable()
     try:
-        connection = ClientConnection(Handler(), Counters("t"))
+        connection = ClientConnection(Handler(), Counters("t"), make_client_resources())
         connection_ref = weakref.ref(connection)
         dispatcher_ref = weakref.ref(connection._dispatcher)
         del connection
--- a/tests/unit/net/downstream/test_client_connection.py
+++ b/tests/unit/net/downstream/test_client_connection.py
@@ -18,6 +18,7 @@
 from indigokeel.net.streams import RequestStream, ResponseStream
 from indigokeel.requests.effects import FinalStatus, Request
 from tests.peers import request
+from tests.support.clients import make_client_resources
 from tests.test_net import OverloadedHandler
 from tests.unit.net.test_streams import StreamEnds
 
@@ -95,7 +96,7 @@
     def __init__(self) -> None:
         self.handler = HoldingHandler()
         self.transport = ScriptedTransport()
-        self.connection = ClientConnection(self.handler, Counters("t"))
+        self.connection = ClientConnection(self.handler, Counters("t"), make_client_resources())
         self.connection.connection_made(self.transport)
 
     def respond(self, status: FinalStatus, response: UpstreamResponse | None = None) -> None:
@@ -105,8 +106,8 @@
     def receive_long_request(self) -> RequestStream:
         """Receive a request whose last bytes are read together with those that pause reading."""
         raw = request("pay", bytes(FIRST_BYTES + REST_BYTES))
-        self.connection.data_received(raw[:-REST_BYTES])
-        self.connection.data_received(raw[-REST_BYTES:])
+        self.connection.receive(raw[:-REST_BYTES])
+        self.connection.receive(raw[-REST_BYTES:])
         assert not self.transport.reading
         request_stream = self.handler.requests[-1].request_stream
         assert request_stream is not None
@@ -158,7 +159,7 @@
     for number in range(2):
         end(client, client.receive_long_request())
         assert client.transport.reading
-        client.connection.data_received(request("view"))
+        client.connection.receive(request("view"))
         assert len(client.handler.requests) == 2 * (number + 1)
         client.respond(FinalStatus.REJECTED)
 
@@ -168,7 +169,7 @@
 ) -> None:
     """Guards against a long response held whole, because its client was slow before the response began."""
     upstream = StreamEnds()
-    client.connection.data_received(request("view"))
+    client.connection.receive(request("view"))
     client.connection.pause_writing()
     stream = ResponseStream(upstream, -1)
     client.respond(FinalStatus.SERVED, UpstreamResponse(AttemptOutcome.OK, None, None, stream))
@@ -187,6 +188,6 @@
         client.transport.ends[1].sendall(raw)
     reloaded_at = time.monotonic()
     client.connection.record_unread_input(reloaded_at)
-    client.connection.data_received(raw)
+    client.connection.receive(raw)
     assert (client.handler.arrival[0] <= reloaded_at) is is_waiting
     assert reloaded_at < client.handler.arrival[1]
