Bound the bytes that clients make the process hold, by limits.memory_mb

Cause: each message and each connection had a limit, but nothing counted all connections together, and nothing read limits.memory_mb. A connection could hold 250 kB unparsed, eight requests of 64 KiB, one more in progress, a streamed body on both sides and any amount of output.

Ruled out: names and ids. A million ever new ids, tenants and classes leave nothing behind; with them the unparsed 250 kB a connection were what grew. Incomplete heads are small, too (16 KiB, 100 fields).

Change: a MemoryAccount knows what each client connection holds: unparsed and queued input, the request in progress with room for its response, streamed bodies, unsent output. Over the limit the largest holders are asked first: requests that are incomplete or wait get 503, in order; output that is stalled for 1 s is dropped. A request is accepted only if its response has room. Requests in progress are never dropped.

--- a/indigokeel/config/loader.py
+++ b/indigokeel/config/loader.py
@@ -18,6 +18,7 @@
 from indigokeel.endpoints.endpoint_list import Address, EndpointList, parse_address, parse_endpoint_list
 
 _DEFAULT_MAX_DESCRIPTORS = 1024
+_DEFAULT_MEMORY_MB = 192
 _NO_ENDPOINTS: Mapping[str, Any] = {"index": 0, "snapshot": True, "endpoints": []}
 
 
@@ -30,6 +31,7 @@
     discovery: Address
     seed: int
     max_descriptors: int  # limit of descriptors that the process may have open
+    memory_mb: int  # limit of the memory of the process, in megabytes
     known: EndpointList  # the endpoint list that this sidecar had last; may be outdated
     settings: Settings
     admin_address: Address | None = None  # the address for operators; None: no admin server
@@ -80,6 +82,10 @@
 
 def _decode(data: dict[str, Any], env: Mapping[str, str]) -> Config:
     seed = data.get("seed", "0")
+    limits = data.get("limits", {})
+    memory_mb = int(limits.get("memory_mb", _DEFAULT_MEMORY_MB))
+    if memory_mb <= 0:
+        raise SettingsError("limits.memory_mb: not over 0")
     admin_address = env.get("BALANCER_MGMT") or data.get("mgmt")
     settings = decode_settings(data["settings"])
     validate_settings(settings)
@@ -88,7 +94,8 @@
         listen=parse_address(env.get("BALANCER_LISTEN") or data["listen"]),
         discovery=parse_address(env.get("BALANCER_DISCOVERY") or data["discovery"]),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        max_descriptors=int(data.get("limits", {}).get("sockets", _DEFAULT_MAX_DESCRIPTORS)),
+        max_descriptors=int(limits.get("sockets", _DEFAULT_MAX_DESCRIPTORS)),
+        memory_mb=memory_mb,
         known=parse_endpoint_list(data.get("known") or _NO_ENDPOINTS),
         settings=settings,
         admin_address=parse_address(admin_address) if admin_address else None,
--- a/indigokeel/net/downstream/client_connection.py
+++ b/indigokeel/net/downstream/client_connection.py
@@ -22,6 +22,8 @@
 _SHUTDOWN_ERROR = RequestError(503, "the process ends")
 _TIMEOUT_ERROR = RequestError(408, "the message took too long")
 _EVICTION_ERROR = RequestError(503, "there is no room for a message that comes slowly")
+_MEMORY_ERROR = RequestError(503, "the memory for messages is used up")
+_STALLED_OUTPUT_S = 1.0  # without progress; then output that the client does not take is dropped if need be
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -37,6 +39,7 @@
         "_dispatcher",
         "_handler",
         "_input",
+        "_memory",
         "_read_buffer",
         "_timeouts",
         "_writer",
@@ -47,11 +50,12 @@
     def __init__(self, handler: Handler, counters: Counters, resources: ClientResources) -> None:
         self._handler = handler
         self._counters = counters
+        self._memory = resources.memory
         self._read_buffer = resources.read_buffer
         owner = cast(Callable[[], ClientConnection], weakref.ref(self))
         self._timeouts = ClientTimeouts()
         self._dispatcher: RequestDispatcher[ClientConnection] = RequestDispatcher(
-            owner, handler, counters, self._timeouts, resources.scheduler
+            owner, handler, counters, self._timeouts, resources
         )
         self._input = self._dispatcher.input
         self._writer = self._dispatcher.writer
@@ -104,6 +108,7 @@
             return
         request_input.pipeline.append_bytes(data, arrived_at, now)
         request_input.flow.process()
+        self.update_memory()
 
     def _shed(self, data: bytes) -> bool:
         """Reject a complete request without parsing it, if the sidecar sheds load; return whether it does.
@@ -122,6 +127,7 @@
         self.fd = -1
         self._on_disconnected()
         self._input.flow.close()
+        self._memory.remove(self)
         self._handler.connection_closed(self)
 
     def pause_writing(self) -> None:
@@ -173,6 +179,37 @@
             self._on_disconnected()
         return self.ended
 
+    # --- memory ---------------------------------------------------------------------------------------
+
+    def update_memory(self) -> None:
+        """Record the memory that the connection takes now."""
+        if self.fd >= 0:
+            held_bytes = self._input.held_bytes() + self._dispatcher.exchange.held_bytes()
+            self._memory.update(self, held_bytes + self._close.buffered_bytes())
+
+    def reclaim_memory(self) -> None:
+        """Free what the client can send again, or does not take.
+
+        A request that was received completely and waits gets an error response in its turn, and so does one
+        that was received in part, after which the connection ends.
+        """
+        if self.ended:
+            return
+        if self._writer.write_paused and not self.busy:
+            if self._timeouts.elapsed_s(time.monotonic()) > _STALLED_OUTPUT_S:
+                self._counters.add("memory_outputs_dropped")
+                self.abort()
+                self._memory.remove(self)
+            return
+        is_partial = self._input.parser.in_message and not self._input.is_discarding_body()
+        if not is_partial and self._input.pipeline.queued_bytes == 0:
+            return
+        self._counters.add("memory_reclaims")
+        self._input.pipeline.fail_requests(_MEMORY_ERROR)
+        if is_partial:
+            self._dispatcher.on_read_error(_MEMORY_ERROR)
+        self._dispatcher.process_pipeline()
+
     # --- timeouts -------------------------------------------------------------------------------------
 
     def check_timeouts(self, now: float) -> None:
--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -7,6 +7,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from indigokeel.metrics import Counters
+from indigokeel.net import http
 from indigokeel.net.downstream.client_timeouts import ClientTimeouts
 from indigokeel.net.downstream.request_handler import FinalResponse, RequestHandler
 from indigokeel.net.downstream.request_input import RequestInput
@@ -24,6 +25,9 @@
 
 ConnectionT = TypeVar("ConnectionT", bound=FinishableConnection)
 
+# For a response that is received as a whole, or for what is held of one that is streamed.
+MAX_RESPONSE_BYTES = http.MAX_BUFFERED_BODY
+
 
 class CurrentExchange(Generic[ConnectionT]):
     """Own the state of the current exchange: its request, its response, and whether to close after it."""
@@ -34,6 +38,7 @@
         "_handler",
         "_input",
         "_keep_alive",
+        "_request_bytes",
         "_timeouts",
         "_unread_since",
         "_writer",
@@ -58,6 +63,7 @@
         self._timeouts = timeouts
         self._keep_alive = True  # the connection persists after the current response
         self._unread_since: float | None = None  # as last reported for the request's streamed body
+        self._request_bytes = 0  # memory of the request that the sidecar is serving
         self.busy = False  # a request is being served or responded to
         self.request_id = ""  # of the request that the sidecar is serving, until its response
 
@@ -66,9 +72,16 @@
         self.busy = True
         self._keep_alive = keep_alive
 
-    def on_accepted(self, request_id: str) -> None:
+    def held_bytes(self) -> int:
+        """Return the memory that the current request takes, and its response may take."""
+        return (
+            self._request_bytes + MAX_RESPONSE_BYTES if self.request_id or self._writer.is_streaming() else 0
+        )
+
+    def on_accepted(self, request_id: str, request_bytes: int) -> None:
         """Record that the sidecar serves the request from now on."""
         self.request_id = request_id
+        self._request_bytes = request_bytes
         self._unread_since = None
 
     def cancel(self) -> None:
@@ -109,6 +122,7 @@
     def on_written(self) -> None:
         """Finish the exchange, and end the connection if it does not persist."""
         self.busy = False
+        self._request_bytes = 0
         self._input.end_current_stream()
         if self._input.active_stream() is not None:
             return  # a close before the rest of the body is read would reset the connection
@@ -145,6 +159,7 @@
         """Cancel the request being served, and the streamed bodies in both directions."""
         request_id = self.request_id
         self.request_id = ""
+        self._request_bytes = 0
         if request_id:
             self._handler.client_disconnected(request_id)
         self._input.drop_streams()
--- a/indigokeel/net/downstream/pipeline.py
+++ b/indigokeel/net/downstream/pipeline.py
@@ -14,6 +14,7 @@
 from indigokeel.net.http import RequestError
 
 MAX_QUEUED_REQUESTS = 8  # behind the one being served; at this number reading pauses
+_MAX_QUEUED_BYTES = 64 * 1024  # of these requests; once they hold more, reading pauses
 SLICE_BYTES = 2 * 1024  # parsed at a time, in addition to the rest of a body
 _CHUNKED_BODY_SLICE_BYTES = 16 * 1024  # parsed at a time within a chunked body, whose end is not known
 
@@ -31,14 +32,19 @@
     received: ReceivedRequest | None = None
     error: RequestError | None = None
 
+    def held_bytes(self) -> int:
+        """Return the memory that the request takes."""
+        return 0 if self.received is None else self.received.held_bytes()
+
 
 class Pipeline:
     """Queue the requests that were read before their turn, and the unparsed bytes behind them."""
 
-    __slots__ = ("_bytes", "_requests", "_start", "arrived_at", "read_at", "total_queued")
+    __slots__ = ("_bytes", "_requests", "_start", "arrived_at", "queued_bytes", "read_at", "total_queued")
 
     def __init__(self) -> None:
         self._requests: list[PendingRequest] = []  # not a deque: an empty one is ten times as large
+        self.queued_bytes = 0  # memory that the requests take
         self._bytes = b""
         self._start = 0  # index of the first unparsed byte
         self.arrived_at = 0.0  # monotonic seconds at which the newest bytes may have arrived
@@ -51,11 +57,16 @@
 
     def is_full(self) -> bool:
         """Return whether so many requests are queued that reading has to pause."""
-        return len(self._requests) >= MAX_QUEUED_REQUESTS
+        return len(self._requests) >= MAX_QUEUED_REQUESTS or self.queued_bytes > _MAX_QUEUED_BYTES
+
+    def held_bytes(self) -> int:
+        """Return the memory that the requests and the unparsed bytes take."""
+        return self.queued_bytes + len(self._bytes)
 
     def append(self, request: PendingRequest) -> None:
         """Queue a request behind the others."""
         self._requests.append(request)
+        self.queued_bytes += request.held_bytes()
         self.total_queued += 1
 
     def first(self) -> PendingRequest | None:
@@ -64,17 +75,21 @@
 
     def pop(self) -> PendingRequest:
         """Remove the first request and return it."""
-        return self._requests.pop(0)
+        request = self._requests.pop(0)
+        self.queued_bytes -= request.held_bytes()
+        return request
 
     def fail_requests(self, error: RequestError) -> None:
         """Replace each queued request by this error, unless it has one already."""
         for request in self._requests:
             request.received = None
             request.error = request.error or error
+        self.queued_bytes = 0
 
     def clear(self) -> None:
         """Drop all requests and bytes."""
         self._requests.clear()
+        self.queued_bytes = 0
         self.drop_bytes()
 
     # --- bytes ----------------------------------------------------------------------------------------
--- a/indigokeel/net/downstream/received_request.py
+++ b/indigokeel/net/downstream/received_request.py
@@ -7,6 +7,8 @@
 from indigokeel.net.messages import OutboundRequest
 from indigokeel.requests.effects import Request
 
+_OBJECTS_BYTES = 1_500  # memory of the objects that describe a request, without their content
+
 
 @dataclass(slots=True)
 class ReceivedRequest:
@@ -14,3 +16,9 @@
 
     request: Request
     outbound: OutboundRequest
+
+    def held_bytes(self) -> int:
+        """Return the memory that the request takes, without a body that is streamed."""
+        outbound = self.outbound
+        text_bytes = len(outbound.target) + len(outbound.id) + len(outbound.key or b"")
+        return _OBJECTS_BYTES + 2 * text_bytes + sum(map(len, outbound.body))
--- a/indigokeel/net/downstream/request_dispatcher.py
+++ b/indigokeel/net/downstream/request_dispatcher.py
@@ -9,16 +9,20 @@
 
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_timeouts import ClientTimeouts
-from indigokeel.net.downstream.current_exchange import CurrentExchange, FinishableConnection
+from indigokeel.net.downstream.current_exchange import (
+    MAX_RESPONSE_BYTES,
+    CurrentExchange,
+    FinishableConnection,
+)
 from indigokeel.net.downstream.pipeline import PendingRequest
 from indigokeel.net.downstream.received_request import ReceivedRequest
 from indigokeel.net.downstream.request_decoder import PlainRequest
 from indigokeel.net.downstream.request_handler import FinalResponse, RequestHandler
 from indigokeel.net.downstream.request_input import RequestInput
+from indigokeel.net.downstream.resources import ClientResources
 from indigokeel.net.downstream.response_writer import ResponseWriter
 from indigokeel.net.http import RequestError
 from indigokeel.net.streams import RequestStream
-from indigokeel.net.turn_scheduler import TurnScheduler
 from indigokeel.requests.effects import FinalStatus
 from indigokeel.requests.open_requests import RESPONSE_MARGIN_S
 
@@ -35,6 +39,9 @@
     def has_disconnected(self) -> bool:
         """Return whether the operating system reports that the client has disconnected."""
 
+    def update_memory(self) -> None:
+        """Record the memory that the connection takes now."""
+
 
 ConnectionT = TypeVar("ConnectionT", bound=Connection)
 
@@ -52,6 +59,7 @@
         "_connection",
         "_counters",
         "_handler",
+        "_memory",
         "_processing",
         "ended",
         "exchange",
@@ -65,16 +73,17 @@
         handler: RequestHandler[ConnectionT],
         counters: Counters,
         timeouts: ClientTimeouts,
-        scheduler: TurnScheduler,
+        resources: ClientResources,
     ) -> None:
         """Create the dispatcher of the connection that ``connection`` returns."""
         self._connection = connection
         self._handler = handler
         self._counters = counters
         dispatcher = weakref.proxy(self)
-        self.input = RequestInput(dispatcher, handler.settings_for, timeouts, scheduler)
+        self.input = RequestInput(dispatcher, handler.settings_for, timeouts, resources.scheduler)
         self.writer = ResponseWriter(dispatcher, timeouts, counters)
         self.exchange = CurrentExchange(connection, handler, counters, self.input, self.writer, timeouts)
+        self._memory = resources.memory
         self._processing = False
         self._admitted = False  # by load shedding: the next request need not be checked again
         self.ended = False  # no more requests are served
@@ -98,12 +107,13 @@
                 self._on_fault(error)
         self._processing = False
         self.regulate_reading()
+        self._connection().update_memory()
 
     def _serve_queued(self) -> None:
         """Serve queued requests until one is in progress; after the last, serve what follows the queue."""
         pipeline = self.input.pipeline
         while not self.exchange.busy and not self.ended and (pending := pipeline.first()) is not None:
-            if self.input.flow.error_pause or (self.writer.write_paused and pending.received is None):
+            if self.input.flow.error_pause or self._must_wait_for_output(pending):
                 return
             pipeline.pop()
             self.exchange.begin(pending.keep_alive)
@@ -111,6 +121,10 @@
         if not self.exchange.busy and not self.ended:
             self._serve_after_queue()
 
+    def _must_wait_for_output(self, pending: PendingRequest) -> bool:
+        """Return whether a request has to wait until the client has taken more of the earlier responses."""
+        return self.writer.write_paused and (pending.received is None or self._memory.is_short())
+
     def _serve_after_queue(self) -> None:
         """Serve a streamed request, end a connection that has stopped reading, or invite an awaited body."""
         request_input = self.input
@@ -175,9 +189,14 @@
             if retry_after_s is not None:
                 self._shed(retry_after_s)
                 return
+        if not self._memory.has_room(MAX_RESPONSE_BYTES):
+            self._counters.add("requests_over_memory_limit")
+            retry_after_s = 0.0 if request.settings is None else request.settings.limits.max_retry_after
+            self.send_final_response(FinalResponse(FinalStatus.REJECTED, retry_after_s))
+            return
         self._counters.add("requests_accepted")
         self.input.flow.reset_errors()
-        self.exchange.on_accepted(request.id)
+        self.exchange.on_accepted(request.id, received.held_bytes())
         if not request.body_streamed:
             request.budget = budget_s
         request.queued_s = waited_s
--- a/indigokeel/net/downstream/request_input.py
+++ b/indigokeel/net/downstream/request_input.py
@@ -57,6 +57,10 @@
         partial = self.parser.in_message and not self.parser.already_responded
         return partial or not self.pipeline.is_empty() or self.flow.stopped
 
+    def held_bytes(self) -> int:
+        """Return the memory that the input takes."""
+        return self.pipeline.held_bytes() + self.parser.held_bytes() + self._receiver.held_bytes()
+
     def is_discarding_body(self) -> bool:
         """Return whether the rest of a request that has its response is being read and discarded."""
         return self.parser.is_discarding_body()
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -20,6 +20,7 @@
 
 _MAX_HEADERS = 100
 _HEALTH_TARGET = b"/_health"
+_FIELD_BYTES = 200  # memory of a header field, beside its content
 
 
 class RequestParserHandler(RequestStreamSource, Protocol):
@@ -119,6 +120,14 @@
         self._pieces = []
         self.request_stream = None
 
+    def held_bytes(self) -> int:
+        """Return the memory that the current message takes, without a body that is streamed."""
+        if not self.in_message:
+            return 0
+        if self._received is not None and self.request_stream is None:
+            return self._received.held_bytes()
+        return self._framing_limit.bytes_without_progress + len(self._headers) * _FIELD_BYTES
+
     def remaining_body_bytes(self) -> int:
         """Return the bytes up to the end of the current body: 0 outside of bodies, -1 in a chunked one."""
         if not self.in_message or self.in_head:
@@ -176,6 +185,7 @@
         except RequestError as error:
             # The end of the message is known, so the connection can serve the next request.
             self._reject(error)
+        self._headers = {}
 
     def _check_head(self) -> None:
         """Check the head's size and framing. Raises RequestError if either is not acceptable."""
--- a/indigokeel/net/downstream/request_receiver.py
+++ b/indigokeel/net/downstream/request_receiver.py
@@ -70,6 +70,15 @@
         """Remove the streamed request that is waiting for its turn, if there is one."""
         self._streamed_request = None
 
+    def held_bytes(self) -> int:
+        """Return the memory of the streamed bodies of the request being served and of the one that waits."""
+        waiting = None if self._streamed_request is None else self._streamed_request.outbound.request_stream
+        return sum(
+            request_stream.held_bytes()
+            for request_stream in (self._current_stream, waiting)
+            if request_stream is not None
+        )
+
     def end_current_stream(self) -> None:
         """Discard what is left of the streamed body of the request that was served, and of its pause."""
         request_stream = self._current_stream
--- a/indigokeel/net/framing_limit.py
+++ b/indigokeel/net/framing_limit.py
@@ -13,15 +13,15 @@
     decide how much is held.
     """
 
-    __slots__ = ("_bytes",)
+    __slots__ = ("bytes_without_progress",)
 
     def __init__(self) -> None:
-        self._bytes = 0
+        self.bytes_without_progress = 0
 
     def is_exceeded_by(self, size: int, has_progress: bool) -> bool:
         """Count received bytes; return whether too many have arrived since the last progress.
 
         ``has_progress`` is whether a part of a body or the end of a message is among them.
         """
-        self._bytes = 0 if has_progress else self._bytes + size
-        return self._bytes > http.MAX_HEAD
+        self.bytes_without_progress = 0 if has_progress else self.bytes_without_progress + size
+        return self.bytes_without_progress > http.MAX_HEAD
--- a/indigokeel/net/streams.py
+++ b/indigokeel/net/streams.py
@@ -120,8 +120,8 @@
     """
 
     __slots__ = (
-        "_buffered", "_buffered_bytes", "_is_discarded", "_received_bytes", "_sink", "_source",
-        "is_complete", "is_fully_written", "is_source_paused", "length",
+        "_buffered", "_buffered_bytes", "_flushed_bytes", "_is_discarded", "_received_bytes", "_sink",
+        "_source", "is_complete", "is_fully_written", "is_source_paused", "length",
     )  # fmt: skip
 
     def __init__(self, source: RequestStreamSource, length: int, received: http.Body) -> None:
@@ -133,6 +133,7 @@
         self._buffered = received
         self._buffered_bytes = sum(map(len, received))
         self._received_bytes = self._buffered_bytes
+        self._flushed_bytes = 0  # by the last write to the sink, which may not have sent them yet
         self.is_source_paused = False
         self._is_discarded = False
 
@@ -169,6 +170,7 @@
         if is_last and self._source.has_disconnected():
             return
         chunks = self._buffered
+        self._flushed_bytes = self._buffered_bytes
         self._buffered = []
         self._buffered_bytes = 0
         if self.length < 0:
@@ -190,6 +192,11 @@
         """Return the data that was received but not written yet."""
         return self._buffered
 
+    def held_bytes(self) -> int:
+        """Return the number of bytes that were received and not sent yet."""
+        unsent_bytes = 0 if self._sink is None or self._sink.is_writable() else self._flushed_bytes
+        return self._buffered_bytes + unsent_bytes
+
     def _resume_source(self) -> None:
         if self.is_source_paused:
             self.is_source_paused = False
--- a/indigokeel/process/connection_budget.py
+++ b/indigokeel/process/connection_budget.py
@@ -6,6 +6,7 @@
 
 from indigokeel.config import Config
 from indigokeel.net.admin import MAX_CONNECTIONS as MAX_ADMIN_CONNECTIONS
+from indigokeel.process.memory_budget import MemoryBudget
 
 # Descriptors reserved for the log, discovery, the event loop and the system.
 _RESERVED_DESCRIPTORS = 32
@@ -23,8 +24,11 @@
     upstreams: int
 
     @classmethod
-    def plan(cls, config: Config, system_limit: int | None) -> ConnectionBudget:
-        """Divide the descriptors; ``system_limit`` is the limit that the system sets, or None."""
+    def plan(cls, config: Config, system_limit: int | None, memory: MemoryBudget) -> ConnectionBudget:
+        """Divide the descriptors; ``system_limit`` is the limit that the system sets, or None.
+
+        There are at most as many connections as there is ``memory`` for.
+        """
         descriptors = (
             config.max_descriptors if system_limit is None else min(config.max_descriptors, system_limit)
         )
@@ -32,6 +36,6 @@
             descriptors //= 2
         if config.admin_address is not None:
             descriptors -= MAX_ADMIN_CONNECTIONS
-        available = descriptors - _RESERVED_DESCRIPTORS
+        available = min(descriptors - _RESERVED_DESCRIPTORS, memory.connections)
         clients = max(int(available * _CLIENT_FRACTION), _MIN_CONNECTIONS)
         return cls(descriptors, clients, max(available - clients, _MIN_CONNECTIONS))
--- a/indigokeel/process/counter_report.py
+++ b/indigokeel/process/counter_report.py
@@ -7,6 +7,7 @@
 from indigokeel.metrics import Counters
 from indigokeel.net.downstream.client_connection import ClientConnection
 from indigokeel.net.downstream.client_registry import ClientRegistry
+from indigokeel.net.memory_account import MemoryAccount
 from indigokeel.net.upstream.client import UpstreamClient
 from indigokeel.process.lag_monitor import LagMonitor
 from indigokeel.requests.coordinator import RequestCoordinator
@@ -22,6 +23,7 @@
         clients: ClientRegistry[ClientConnection],
         upstream_client: UpstreamClient,
         lag_monitor: LagMonitor,
+        memory: MemoryAccount,
     ) -> None:
         """Create a report on these components."""
         self._counters = counters
@@ -29,6 +31,7 @@
         self._clients = clients
         self._upstream_client = upstream_client
         self._lag_monitor = lag_monitor
+        self._memory = memory
 
     def print(self) -> None:
         """Print the line to standard error."""
@@ -42,6 +45,7 @@
             upstream_connections_open=self._upstream_client.open_connections,
             upstream_connections_idle=connections.idle_count(),
             attempts_waiting=connections.waiter_count(),
+            memory_held_bytes=self._memory.used_bytes,
             loop_lag_ms=round(self._lag_monitor.lag_s * 1000.0, 1),
             cpu_s=round(time.process_time(), 2),
         )
--- a/indigokeel/process/housekeeping.py
+++ b/indigokeel/process/housekeeping.py
@@ -10,11 +10,13 @@
 from indigokeel.net.upstream.client import UpstreamClient
 from indigokeel.net.upstream.descriptor_audit import DescriptorLeakDetector
 from indigokeel.process.event_loop_watchdog import EventLoopWatchdog
+from indigokeel.process.memory_log import MemoryLog
 from indigokeel.process.supervision import Supervisor
 
 _CHECK_INTERVAL_S = 0.2
 _CHECKS_PER_EXPIRY = 5  # number of checks per sweep of idle upstream connections
 _CHECKS_PER_AUDIT = 25  # number of checks per descriptor audit
+_CHECKS_PER_MEMORY_LOG = 25  # number of checks per log line about memory
 
 
 class Housekeeping:
@@ -26,6 +28,7 @@
         upstream_client: UpstreamClient,
         leak_detector: DescriptorLeakDetector,
         watchdog: EventLoopWatchdog,
+        memory_log: MemoryLog,
         supervisor: Supervisor,
     ) -> None:
         """Create the checks of these connections; nothing runs before ``run``."""
@@ -33,6 +36,7 @@
         self._upstream_client = upstream_client
         self._leak_detector = leak_detector
         self._watchdog = watchdog
+        self._memory_log = memory_log
         self._supervisor = supervisor
 
     async def run(self) -> None:
@@ -58,3 +62,5 @@
                 guarded("closing idle connections", self._upstream_client.close_expired, now)
             if checks % _CHECKS_PER_AUDIT == 0:
                 guarded("descriptor audit", self._leak_detector.run_audit)
+            if checks % _CHECKS_PER_MEMORY_LOG == 0:
+                guarded("memory log", self._memory_log.write)
--- a/indigokeel/process/sidecar.py
+++ b/indigokeel/process/sidecar.py
@@ -20,6 +20,7 @@
 from indigokeel.net.downstream.client_registry import ClientRegistry
 from indigokeel.net.downstream.listener import ClientListener
 from indigokeel.net.downstream.resources import ClientResources
+from indigokeel.net.memory_account import MemoryAccount
 from indigokeel.net.turn_scheduler import TurnScheduler
 from indigokeel.net.upstream import DescriptorLeakDetector
 from indigokeel.net.upstream.client import UpstreamClient, UpstreamClientOptions
@@ -31,6 +32,8 @@
 from indigokeel.process.event_loop_watchdog import EventLoopWatchdog
 from indigokeel.process.housekeeping import Housekeeping
 from indigokeel.process.lag_monitor import LagMonitor
+from indigokeel.process.memory_budget import MemoryBudget, resident_bytes
+from indigokeel.process.memory_log import MemoryLog
 from indigokeel.process.reload import ConfigReloader, ReloadTargets
 from indigokeel.process.request_service import RequestService
 from indigokeel.process.shutdown import Shutdown, ShutdownTimes
@@ -55,7 +58,9 @@
         self._supervisor = Supervisor(self._counters)
         self._coordinator = RequestCoordinator(config.settings, config.seed, clocks.unix_to_clock())
         self._scheduler = TurnScheduler(_call_soon, time.monotonic)
-        budget = ConnectionBudget.plan(config, _descriptor_limit())
+        memory = MemoryBudget.plan(config, resident_bytes())
+        budget = ConnectionBudget.plan(config, _descriptor_limit(), memory)
+        self._memory = MemoryAccount(memory.held_bytes(budget.clients + budget.upstreams))
         self._clients: ClientRegistry[ClientConnection] = ClientRegistry(budget.descriptors, budget.clients)
         self._upstream_client = self._make_upstream_client(config, budget)
         self._endpoint_feed = EndpointFeed(self._coordinator, self._execute)
@@ -85,7 +90,12 @@
         self._admin = AdminServer(self._admin_service, self._counters)
         self._lag_monitor = LagMonitor(self._coordinator, self._executor, self._requests, self._supervisor)
         self._counter_report = CounterReport(
-            self._counters, self._coordinator, self._clients, self._upstream_client, self._lag_monitor
+            self._counters,
+            self._coordinator,
+            self._clients,
+            self._upstream_client,
+            self._lag_monitor,
+            self._memory,
         )
         self._leak_detector: DescriptorLeakDetector
 
@@ -205,7 +215,7 @@
             self._supervisor.keep_running("cordon store", self._persistence.keep_cordons_stored)
 
     def _accept_clients(self, loop: asyncio.AbstractEventLoop, listener: socket.socket) -> ClientListener:
-        resources = ClientResources(self._scheduler)
+        resources = ClientResources(self._scheduler, self._memory)
         clients = ClientListener(
             loop,
             listener,
@@ -232,6 +242,7 @@
             self._upstream_client,
             self._leak_detector,
             EventLoopWatchdog(self._counters),
+            MemoryLog(self._memory, self._counters),
             self._supervisor,
         )
         self._supervisor.keep_running("housekeeping", housekeeping.run)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -255,6 +255,7 @@
     sockets: int,
     known: dict[str, Any],
     settings: dict[str, Any],
+    memory_mb: int = 192,
 ) -> dict[str, Any]:
     """Return the content of a configuration file; ``discovery`` is a port."""
     return {
@@ -262,7 +263,7 @@
         "listen": f"{listen[0]}:{listen[1]}",
         "discovery": f"127.0.0.1:{discovery}",
         "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": sockets},
+        "limits": {"sockets": sockets, "memory_mb": memory_mb},
         "known": known,
         "settings": settings,
     }
@@ -287,6 +288,7 @@
         listener: socket.socket | None = None,
         settings: dict[str, Any] = SETTINGS,
         wait: bool = True,
+        memory_mb: int = 192,
         **more: str,
     ) -> None:
         """Start the program, and wait until it is ready unless ``wait`` is False.
@@ -296,7 +298,8 @@
         self.address = listener.getsockname() if listener else (CLIENT_HOST, free_port(CLIENT_HOST))
         self.mgmt = int(more.get("BALANCER_MGMT", ":0").rpartition(":")[2])
         config = self.config = tmp / "config.json"
-        config.write_text(json.dumps(make_configuration(self.address, discovery, sockets, known, settings)))
+        content = make_configuration(self.address, discovery, sockets, known, settings, memory_mb)
+        config.write_text(json.dumps(content))
         self.log = tmp / f"log-{next(_numbers)}"
         self.process = start(config, self.log.open("wb"), listener, **more)
         if not wait:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -166,6 +166,9 @@
     def __init__(self, sock: socket.socket) -> None:
         super().__init__({"socket": sock})
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
 
 def test_request_whose_last_byte_is_unread_has_not_stalled() -> None:
     server_socket, client_socket = socket.socketpair()
--- a/tests/unit/test_config.py
+++ b/tests/unit/test_config.py
@@ -28,6 +28,7 @@
     config = load_config({"BALANCER_CONFIG": str(path), "BALANCER_LISTEN": "127.0.0.1:4000"})
     assert (config.name, config.listen[1], config.discovery[1], config.seed) == ("n3", 4000, 85, 255)
     assert config.settings.limits.max_attempts == 5 and config.max_descriptors == 1024
+    assert config.memory_mb == 192
 
 
 @pytest.mark.parametrize(
@@ -60,6 +61,8 @@
             ]
         ],
         ({"limits": 3}, None),
+        ({"limits": {"memory_mb": "much"}}, "much"),
+        ({"limits": {"memory_mb": 0}}, r"limits\.memory_mb: not over 0"),
     ],
 )
 def test_invalid_config_is_rejected(tmp_path: Path, change: dict[str, Any], message: str | None) -> None:
