Run no unsafe request twice whose id comes again after its client has left

Cause: an id was known only while its request was open. Once the client had left and the attempt, which cannot be taken back, had ended, the same id was a new request. With slow upstreams it was still open, hence 409.

Ruled out: requests sent on after the close.

One that comes again gets 409, as while it is open.

The new test in tests/test_client_gone.py failed before (200 in place of 409).

--- a/indigokeel/net/downstream/request_handler.py
+++ b/indigokeel/net/downstream/request_handler.py
@@ -52,7 +52,7 @@
         """Return whether the sidecar can serve requests."""
 
     def is_open(self, request_id: str) -> bool:
-        """Return whether a request with this id is being served."""
+        """Return whether a request with this id is being served, or may have run and must not run twice."""
 
     def handle_request(
         self, client: ConnectionT, arrived: float, request: Request, outbound: OutboundRequest
--- a/indigokeel/process/request_service.py
+++ b/indigokeel/process/request_service.py
@@ -70,8 +70,10 @@
         return self._coordinator.has_upstreams() and not self.closing
 
     def is_open(self, request_id: str) -> bool:
-        """Return True if a request with this id is open."""
-        return self._coordinator.is_open(request_id)
+        """Return True if a request with this id is open, or may have run and must not run twice."""
+        if self._coordinator.is_open(request_id):
+            return True
+        return self._coordinator.may_have_run(time.monotonic(), request_id)
 
     def handle_request(
         self, client: ClientConnection, arrived: float, request: Request, outbound: OutboundRequest
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -78,6 +78,10 @@
         """Return True if the request with this id has no answer yet or has an attempt in flight."""
         return request_id in self._requests
 
+    def may_have_run(self, now: float, request_id: str) -> bool:
+        """Return True if a request with this id has ended that may have run and must not run twice."""
+        return self._requests.may_have_run(now, request_id)
+
     def address(self, upstream: str) -> Address | None:
         """Return the address of an upstream, or None if it accepts no new requests."""
         return self._directory.address(upstream)
@@ -169,6 +173,7 @@
         if open_attempt.ended or now >= open_attempt.send_before:
             return False
         open_attempt.sent = True
+        self._requests.record_sent(now, request)
         return True
 
     def report(
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -48,6 +48,7 @@
     max_attempts: int
     time_limit: float  # seconds from the arrival, or from the last byte of a streamed body, to ``respond_by``
     body_streamed: bool
+    must_not_repeat: bool  # it is unsafe to run twice
     delayed_by_client: bool  # it waited behind other requests of its client; not blamed on an upstream
     attempts: list[OpenAttempt] = field(default_factory=list)
     attempts_in_flight: int = 0
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -7,6 +7,7 @@
 from indigokeel.balancing.settings import ClassSettings, Idempotency, Settings
 from indigokeel.requests.effects import Effects, FinalAnswer, FinalStatus, Request
 from indigokeel.requests.open_request import OpenRequest
+from indigokeel.requests.sent_request_ids import SentRequestIds
 from indigokeel.requests.timer_queue import TimerQueue
 from indigokeel.requests.unserved import Unserved, UnservedCause
 
@@ -28,6 +29,7 @@
         self._timers = timers
         self._requests: dict[str, OpenRequest] = {}
         self._answer_by = math.inf  # clock time by which a shutdown needs all answers
+        self._sent_ids = SentRequestIds()
         self.unanswered = 0
         self.apply_settings(settings)
 
@@ -81,6 +83,7 @@
             max_attempts=settings.limits.max_attempts,
             time_limit=_time_limit(request, class_settings),
             body_streamed=request.body_streamed,
+            must_not_repeat=_must_not_repeat(class_settings),
             budget_limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.queued_s > _MIN_DELAY_BY_CLIENT_S,
         )
@@ -91,6 +94,15 @@
         self.unanswered += 1
         return open_request
 
+    def record_sent(self, now: float, request: OpenRequest) -> None:
+        """Record that an attempt of a request is sent now."""
+        if request.must_not_repeat:
+            self._sent_ids.add(now, request.id)
+
+    def may_have_run(self, now: float, request_id: str) -> bool:
+        """Return True if a request with this id that must not run twice was sent to an upstream."""
+        return self._sent_ids.contains(now, request_id)
+
     def mark_answered(self, request: OpenRequest) -> None:
         """Record that a request needs no answer any more."""
         request.answered = True
@@ -114,9 +126,16 @@
         if request.is_done() and not request.closed:
             request.closed = True
             self._requests.pop(request.id, None)
+            if not request.may_have_run():
+                self._sent_ids.discard(request.id)
             self._timers.drop_timers_of(request)
 
 
+def _must_not_repeat(class_settings: ClassSettings | None) -> bool:
+    """Return True if the requests of a class must not run twice."""
+    return class_settings is not None and class_settings.idempotency is Idempotency.UNSAFE
+
+
 def _idempotency_window(class_settings: ClassSettings | None) -> float:
     """Return the seconds after the first attempt in which a retry may be sent."""
     if class_settings is None or class_settings.idempotency is not Idempotency.KEYED:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -7,6 +7,8 @@
 import json
 import socket
 import threading
+import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -150,3 +152,26 @@
                 for _ in range(1 + behind.count(b"HTTP/1.1")):
                     assert read_response(file)[0] == 200
                 sender.join()
+
+
+def test_unsafe_ids_that_come_again_after_their_client_left_run_once(tmp_path: Path) -> None:
+    """Guards against an id that runs twice because its first attempt outlives its client."""
+
+    def slow(message: Message) -> bytes:
+        time.sleep(0.03)
+        return ok()
+
+    with running(tmp_path, slow, slow) as (program, upstreams, _):
+        for number in range(10):
+            requests = [request("pay", b"x") for _ in range(40)]
+            ran_before = sum(len(upstream.received) for upstream in upstreams)
+            conn = program.connect()
+            conn.sendall(b"".join(requests))
+            until(lambda: sum(len(upstream.received) for upstream in upstreams) > ran_before + number % 3)  # noqa: B023
+            conn.close()
+            codes = [program.exchange(again)[0] for again in requests[:10]]
+            assert codes[0] == 409 and set(codes) <= {200, 409}
+        runs = Counter(
+            message.headers["request-id"] for upstream in upstreams for message in upstream.received
+        )
+        assert max(runs.values()) == 1
