Do not repeat a keyed request where another process took over its first upstream

Cause: an attempt referred to the upstream's current entry, so that a change of its group moved the first attempt along: the repeat was sent to the new group, which does not know of it. And a process of another name and group at the same address was not related to the attempt that may have reached it.

Ruled out: idle connections to the old process (closed with the change, and each is compared with the current address before a write); unsafe requests (never repeated); a restart listed with its start time (a new entry).

Change: the balancer keeps the entry under which an attempt was chosen. Right before the first byte, a repeat is compared with the entries of all attempts that may have run: its upstream must be in their scope, and nobody of another scope may be listed at their address by now. Requests whose class deduplicates everywhere are not affected.

--- a/indigokeel/balancing/request_state.py
+++ b/indigokeel/balancing/request_state.py
@@ -14,12 +14,13 @@
     """One attempt of a request."""
 
     __slots__ = (
-        "was_sent", "cancelled", "expected_s", "hedged", "may_have_run", "missed_objective", "open",
-        "overdue", "sent_at", "upstream",
+        "was_sent", "cancelled", "expected_s", "hedged", "may_have_run", "member", "missed_objective",
+        "open", "overdue", "sent_at", "upstream",
     )  # fmt: skip
 
     def __init__(self, upstream: UpstreamState, sent_at: float, expected_s: float) -> None:
         self.upstream = upstream
+        self.member = upstream.member  # as listed now: another process may take over the name or the address
         self.sent_at = sent_at
         self.expected_s = expected_s  # expected latency of the request
         self.open = True
--- a/indigokeel/balancing/retry_policy.py
+++ b/indigokeel/balancing/retry_policy.py
@@ -38,7 +38,7 @@
         return True
     if scope is DeduplicationScope.ALL:
         return True
-    first = executed.upstream.member
+    first = executed.member
     if scope is DeduplicationScope.ZONE:
         return member.zone == first.zone
     return member.replica_group == first.replica_group
--- a/indigokeel/balancing/upstream_selection.py
+++ b/indigokeel/balancing/upstream_selection.py
@@ -86,12 +86,13 @@
         return self._selection.choose(now, usable, request.key) if usable else None
 
     def _retry_pool(self, now: float, request: RequestState) -> list[UpstreamState]:
-        if request.first_possible_execution() is None:
+        executed = request.first_possible_execution()
+        if executed is None:
             return self._subset.refresh(now)
         pool = self._registry.all_serving()
         if request.class_settings.deduplication_scope is not DeduplicationScope.REPLICA_GROUP:
             return pool
-        group = self._registry.serving_in_group(request.attempts[0].upstream.member.replica_group)
+        group = self._registry.serving_in_group(executed.member.replica_group)
         return pool if group is None else group
 
     def _may_get_further_attempt(self, now: float, upstream: UpstreamState, request: RequestState) -> bool:
--- a/indigokeel/endpoints/directory.py
+++ b/indigokeel/endpoints/directory.py
@@ -48,6 +48,15 @@
         """Return the address of an upstream, or None if it accepts no new requests."""
         return self._addresses.get(upstream)
 
+    def endpoint(self, upstream: str) -> Endpoint | None:
+        """Return an upstream as discovery lists it now, or None."""
+        return self._endpoints.get(upstream)
+
+    def endpoint_at(self, address: Address) -> Endpoint | None:
+        """Return the upstream that is listed at an address now, or None."""
+        found = (item for item in self._endpoints.values() if (item.host, item.port) == address)
+        return next(found, None)
+
     def has_upstreams(self) -> bool:
         """Return True if any upstream accepts requests."""
         return bool(self._addresses)
--- a/indigokeel/requests/balancer_driver.py
+++ b/indigokeel/requests/balancer_driver.py
@@ -207,7 +207,7 @@
         if request is None:
             return
         number = len(request.attempts)
-        request.add_attempt(action.upstream, now)
+        request.add_attempt(action.upstream, self._directory.endpoint(action.upstream), now)
         if not request.may_send(now, number) or self._directory.address(action.upstream) is None:
             outcome = AttemptOutcome.NOT_SENT
             request.end_attempt(number, outcome)
--- a/indigokeel/requests/coordinator.py
+++ b/indigokeel/requests/coordinator.py
@@ -29,6 +29,7 @@
 from indigokeel.endpoints.endpoint_list import Address, Endpoint, EndpointList
 from indigokeel.endpoints.start_times import StartsSnapshot
 from indigokeel.hot_restart import learned_state
+from indigokeel.requests import repeat_scope
 from indigokeel.requests.balancer_driver import BalancerDriver
 from indigokeel.requests.effects import Attempt, Effects, Request
 from indigokeel.requests.open_requests import OpenRequests
@@ -172,6 +173,8 @@
         open_attempt = request.attempts[attempt.number]
         if open_attempt.ended or now >= open_attempt.send_before:
             return False
+        if not repeat_scope.allows_attempt(request, attempt.number, self._directory):
+            return False
         open_attempt.sent = True
         self._requests.record_sent(now, request)
         return True
--- a/indigokeel/requests/open_request.py
+++ b/indigokeel/requests/open_request.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 
 from indigokeel.balancing.events import AttemptOutcome
+from indigokeel.balancing.settings import DeduplicationScope
+from indigokeel.endpoints.endpoint_list import Endpoint
 
 # Attempts that ended before their first byte was sent do not count against the limit on attempts, up to this
 # number.
@@ -17,6 +19,7 @@
     """An attempt, from its start to its one outcome."""
 
     upstream: str
+    endpoint: Endpoint | None  # the upstream as it was listed when the attempt was started
     started_at: float  # clock time
     send_before: float  # clock time before which it must be sent; bounds the retries of a keyed request
     sent: bool = False  # set right before its first byte is written
@@ -49,6 +52,7 @@
     time_limit: float  # seconds from the arrival, or from the last byte of a streamed body, to ``respond_by``
     body_streamed: bool
     must_not_repeat: bool  # it is unsafe to run twice
+    repeat_scope: DeduplicationScope | None  # of upstreams that detect a repeat of it; None: it is not keyed
     delayed_by_client: bool  # it waited behind other requests of its client; not blamed on an upstream
     attempts: list[OpenAttempt] = field(default_factory=list)
     attempts_in_flight: int = 0
@@ -63,10 +67,10 @@
         """True if a shutdown, and not the client's time limit, determines ``respond_by``."""
         return self.budget_limited_by_shutdown or self.respond_by == self.answer_by < math.inf
 
-    def add_attempt(self, upstream: str, now: float) -> OpenAttempt:
-        """Add an attempt that starts now."""
+    def add_attempt(self, upstream: str, endpoint: Endpoint | None, now: float) -> OpenAttempt:
+        """Add an attempt that starts now, to an upstream that is listed as ``endpoint``."""
         first = next((attempt.started_at for attempt in self.attempts if attempt.may_have_run), math.inf)
-        attempt = OpenAttempt(upstream, now, first + self.idempotency_window)
+        attempt = OpenAttempt(upstream, endpoint, now, first + self.idempotency_window)
         self.attempts.append(attempt)
         return attempt
 
@@ -86,6 +90,10 @@
         """Return True unless the outcomes prove that no attempt had an effect."""
         return any(attempt.may_have_run for attempt in self.attempts)
 
+    def possible_executions(self, before: int) -> list[OpenAttempt]:
+        """Return the attempts before attempt ``before`` that may have run."""
+        return [attempt for attempt in self.attempts[:before] if attempt.may_have_run]
+
     def end_attempt(self, number: int, outcome: AttemptOutcome) -> OpenAttempt:
         """Record the one outcome of an attempt."""
         attempt = self.attempts[number]
--- a/indigokeel/requests/open_requests.py
+++ b/indigokeel/requests/open_requests.py
@@ -4,7 +4,7 @@
 
 import math
 
-from indigokeel.balancing.settings import ClassSettings, Idempotency, Settings
+from indigokeel.balancing.settings import ClassSettings, DeduplicationScope, Idempotency, Settings
 from indigokeel.requests.effects import Effects, FinalAnswer, FinalStatus, Request
 from indigokeel.requests.open_request import OpenRequest
 from indigokeel.requests.sent_request_ids import SentRequestIds
@@ -84,6 +84,7 @@
             time_limit=_time_limit(request, class_settings),
             body_streamed=request.body_streamed,
             must_not_repeat=_must_not_repeat(class_settings),
+            repeat_scope=_repeat_scope(class_settings),
             budget_limited_by_shutdown=request.limited_by_shutdown,
             delayed_by_client=request.queued_s > _MIN_DELAY_BY_CLIENT_S,
         )
@@ -136,6 +137,13 @@
     return class_settings is not None and class_settings.idempotency is Idempotency.UNSAFE
 
 
+def _repeat_scope(class_settings: ClassSettings | None) -> DeduplicationScope | None:
+    """Return which upstreams detect a repeat of a keyed request; None for requests of other classes."""
+    if class_settings is None or class_settings.idempotency is not Idempotency.KEYED:
+        return None
+    return class_settings.deduplication_scope
+
+
 def _idempotency_window(class_settings: ClassSettings | None) -> float:
     """Return the seconds after the first attempt in which a retry may be sent."""
     if class_settings is None or class_settings.idempotency is not Idempotency.KEYED:
--- a/tests/unit/requests/test_coordinator.py
+++ b/tests/unit/requests/test_coordinator.py
@@ -363,3 +363,33 @@
     coordinator._timers.schedule(100.2, lambda _now, _effects: ran.append("dropped"), request)
     coordinator.tick(100.2)
     assert ran == ["answer"] and request.closed
+
+
+NAME_TAKEN_OVER = (
+    replace(ENDPOINTS[0], replica_group=1),
+    replace(ENDPOINTS[1], replica_group=1),
+)
+ADDRESS_TAKEN_OVER = (
+    replace(ENDPOINTS[0], state=EndpointState.GONE),
+    replace(ENDPOINTS[0], name="s-9", replica_group=1),
+    ENDPOINTS[2],
+)
+
+
+@pytest.mark.parametrize(
+    ("change", "is_repeated"),
+    [((ENDPOINTS[2],), True), (NAME_TAKEN_OVER, False), (ADDRESS_TAKEN_OVER, False)],
+)
+def test_keyed_request_is_not_repeated_where_another_process_took_over_the_first_upstream(
+    change: tuple[Endpoint, ...], is_repeated: bool
+) -> None:
+    coordinator = make_coordinator()
+    others = (replace(ENDPOINTS[1], replica_group=1), ENDPOINTS[2])
+    draining = tuple(replace(endpoint, state=EndpointState.DRAINING) for endpoint in others)
+    coordinator.update_endpoints(100.0, EndpointList(2, False, draining))
+    attempt, _ = submit_request(coordinator, class_name="order")
+    assert attempt.upstream == "s-0" and coordinator.may_send_attempt(100.0, attempt)
+    coordinator.update_endpoints(100.1, EndpointList(3, False, change))
+    effects = coordinator.report(100.2, attempt, AttemptOutcome.BROKEN)
+    sent = [again for again in effects.attempts if coordinator.may_send_attempt(100.2, again)]
+    assert bool(sent) is is_repeated
