Ignore signals from the first one that ends the process

What was seen: beside five other test runs a process did not end after SIGTERM, for 18 minutes until it was killed: test_repeated_signals_during_shutdown_do_not_change_the_exit_status sends SIGTERM as fast as it can.

Cause: nothing takes signals off the queue during a shutdown, but the event loop still handles each one; if they come faster than it handles them, it does nothing else, and the queue grows.

With one process that only sends signals, does not end either.

Change: the first SIGTERM or SIGINT sets all handled signals to be ignored by the system.

--- a/indigokeel/process/sidecar.py
+++ b/indigokeel/process/sidecar.py
@@ -46,7 +46,8 @@
 _PARTIAL_REQUEST_S = 0.2  # time after that in which a partially received request may be completed
 _BACKLOG_ACCEPT_S = 0.01  # time to accept connections that the kernel queued before the listener closes
 _ADMIN_BIND_RETRY_S = 0.5
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+_SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*_SHUTDOWN_SIGNALS, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Sidecar:
@@ -182,7 +183,7 @@
     def _receive_signals(loop: asyncio.AbstractEventLoop) -> asyncio.Queue[signal.Signals]:
         signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
         for number in HANDLED_SIGNALS:
-            loop.add_signal_handler(number, signals.put_nowait, number)
+            loop.add_signal_handler(number, _receive_signal, signals, number)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         return signals
 
@@ -262,7 +263,7 @@
 
     async def _handle_signals(self, signals: asyncio.Queue[signal.Signals]) -> None:
         """Handle signals until one requests a shutdown."""
-        while (number := await signals.get()) not in (signal.SIGTERM, signal.SIGINT):
+        while (number := await signals.get()) not in _SHUTDOWN_SIGNALS:
             if number == signal.SIGUSR1:
                 self._report_counters()
             else:
@@ -310,6 +311,14 @@
         self._supervisor.run_guarded("counters", self._counter_report.print)
 
 
+def _receive_signal(signals: asyncio.Queue[signal.Signals], number: signal.Signals) -> None:
+    """Queue a signal. After one that ends the process, ignore all: a flood of them would hold up its end."""
+    signals.put_nowait(number)
+    if number in _SHUTDOWN_SIGNALS:
+        for ignored in HANDLED_SIGNALS:
+            signal.signal(ignored, signal.SIG_IGN)
+
+
 def _call_soon(task: Callable[[], None]) -> None:
     """Call a function in the next turn of the event loop."""
     asyncio.get_running_loop().call_soon(task)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -495,6 +495,30 @@
             assert program.process.returncode == 0
 
 
+# Sends signals until the process has gone; exit status 1 if it outlives them all.
+FLOOD = """
+import os, signal, sys
+try:
+    for _ in range(2_000_000):
+        for number in (signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP):
+            os.kill(int(sys.argv[1]), number)
+except ProcessLookupError:
+    sys.exit(0)
+sys.exit(1)
+"""
+
+
+def test_flood_of_signals_does_not_hold_up_the_shutdown(tmp_path: Path) -> None:
+    with running(tmp_path, echo) as (program, _, _discovery):
+        assert program.exchange(request())[0] == 200
+        program.process.send_signal(signal.SIGTERM)
+        command = [sys.executable, "-c", FLOOD, str(program.process.pid)]
+        floods = [subprocess.Popen(command) for _ in range(2)]
+        until(lambda: program.process.poll() is not None or all(flood.poll() is not None for flood in floods))
+        program.process.wait()
+        assert [flood.wait() for flood in floods] == [0, 0] and program.process.returncode == 0
+
+
 @pytest.mark.parametrize(("class_name", "body", "code"), [("pay", b"7", 200), ("view", None, 503)])
 def test_late_response_is_delivered_to_clients_that_cannot_retry(
     tmp_path: Path, class_name: str, body: bytes | None, code: int
