Read a list of discovery without copying it again with each piece, 16 KiB a turn

Ruled out: the JSON decoder (0.03 s).

Change: the body is a byte array that is split once it may hold a line, incomplete lists are kept as lines, and each read of 16 KiB lets the event loop run.

--- a/indigokeel/net/discovery.py
+++ b/indigokeel/net/discovery.py
@@ -25,7 +25,7 @@
 _AGENT_CALL_INTERVAL_S = 0.05  # minimum between calls to an agent that pushes: it serves this machine alone
 _BYTES_PER_EXTRA_S = 32_000  # size of a message for which one more second is allowed
 _MAX_MESSAGE_BYTES = 1 << 20
-_READ_BYTES = 64 * 1024
+_READ_BYTES = 16 * 1024  # at most, per turn of the event loop
 
 
 class _CallEnd(Enum):
@@ -217,7 +217,8 @@
         self._reader = reader
         self._parser = httptools.HttpResponseParser(ResponseCallbacks(self))
         self._framing_limit = FramingLimit()
-        self._unread = b""  # bytes of the body that were not decoded yet
+        self._unread = bytearray()  # the part of the body that was not decoded yet
+        self._has_line = False  # a line may be complete in it
         self._is_complete = False
         self._is_framed = False  # the head states where the body ends
         self.status = 0
@@ -233,6 +234,7 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body."""
         self._unread += data
+        self._has_line = self._has_line or b"\n" in data
 
     def on_message_complete(self) -> None:
         """Record the end, unless it is that of an interim (1xx) response."""
@@ -240,6 +242,7 @@
 
     async def _read(self) -> bool:
         """Read once; return False at the end of the stream."""
+        await asyncio.sleep(0)  # a read of data that has arrived does not wait
         data = await self._reader.read(_READ_BYTES)
         unread_bytes = len(self._unread)
         if data:
@@ -256,6 +259,15 @@
             if not await self._read():
                 raise EndpointListError("no complete response head")
 
+    def _take_lines(self) -> list[bytes]:
+        """Remove and return the complete lines of the body."""
+        if not self._has_line:
+            return []
+        self._has_line = False
+        *lines, rest = bytes(self._unread).split(b"\n")
+        self._unread = bytearray(rest)
+        return lines
+
     async def lists(self) -> AsyncIterator[EndpointList]:
         """Yield the lists of the body, each on one line or indented over several; skip empty lines.
 
@@ -263,34 +275,36 @@
         """
         clock = asyncio.get_running_loop().time
         last_message_at = clock()
-        partial = b""  # the lines received so far of an incomplete message
+        partial: list[bytes] = []  # the lines received so far of an incomplete message
+        partial_bytes = 0
         has_more = True
         while has_more:
-            *lines, unread = self._unread.split(b"\n")
-            self._unread = unread
-            if len(partial) + len(self._unread) > _MAX_MESSAGE_BYTES:
+            lines = self._take_lines()
+            if partial_bytes + len(self._unread) > _MAX_MESSAGE_BYTES:
                 raise EndpointListError("message too long")
             for line in lines:
                 if not line.strip():
                     continue
                 update = _read_list(partial, line)
                 if update is None:
-                    partial += line
+                    partial.append(line)
+                    partial_bytes += len(line)
                 else:
-                    partial = b""
+                    partial.clear()
+                    partial_bytes = 0
                     yield update
             if lines and not partial:
                 last_message_at = clock()
             if self._is_complete:
                 break
-            size = len(partial) + len(self._unread)
+            size = partial_bytes + len(self._unread)
             async with asyncio.timeout_at(last_message_at + _SILENCE_TIMEOUT_S + size / _BYTES_PER_EXTRA_S):
                 has_more = await self._read()
         if partial or self._unread.strip():
-            yield decode(partial + self._unread)
+            yield decode(b"".join([*partial, self._unread]))
 
 
-def _read_list(partial: bytes, line: bytes) -> EndpointList | None:
+def _read_list(partial: list[bytes], line: bytes) -> EndpointList | None:
     """Return the list that ends with this line, or None if it continues; ``partial`` holds earlier lines.
 
     Raise EndpointListError on a line that cannot be part of a list.
@@ -305,7 +319,7 @@
             raise EndpointListError("truncated line")
         return None
     try:
-        return decode(partial + line)
+        return decode(b"".join([*partial, line]))
     except NotJSONError:
         # Entries of an indented list also end with ``}``. A line that begins with ``{`` would be the next
         # list.
