Compare scopes of repeats in one place, and record held memory once a read

- Whether two upstreams detect repeats of each other was compared in retry_policy.py and again in the new repeat_scope.py: now both call retry_policy.are_in_same_scope.
- A read recorded the connection's memory twice if its requests were served at once: now only if bytes wait.
- The size of the accepted request was reset where nothing reads it any more.
- One part of a body needs no case of its own: join returns it as it is.

--- a/indigokeel/balancing/retry_policy.py
+++ b/indigokeel/balancing/retry_policy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from indigokeel.balancing.events import Member
 from indigokeel.balancing.request_state import RequestState
 from indigokeel.balancing.settings import DeduplicationScope, Idempotency
@@ -20,6 +22,18 @@
 MIN_RETRY_LATENCY_RATIO = 0.5  # of the expected latency; with less time left a retry is pointless
 
 
+class ScopedUpstream(Protocol):
+    """An upstream, as far as it matters for the detection of repeats."""
+
+    @property
+    def zone(self) -> str:
+        """The zone of the upstream."""
+
+    @property
+    def replica_group(self) -> int:
+        """The replica group of the upstream."""
+
+
 def may_repeat(at: float, request: RequestState) -> bool:
     """Return whether the idempotency of the class allows another attempt at clock time ``at``."""
     executed = request.first_possible_execution()
@@ -36,12 +50,16 @@
     scope = request.class_settings.deduplication_scope
     if executed is None or request.class_settings.idempotency is not Idempotency.KEYED:
         return True
+    return are_in_same_scope(scope, member, executed.member)
+
+
+def are_in_same_scope(scope: DeduplicationScope, one: ScopedUpstream, other: ScopedUpstream) -> bool:
+    """Return whether two upstreams detect repeats of each other's requests."""
     if scope is DeduplicationScope.ALL:
         return True
-    first = executed.member
     if scope is DeduplicationScope.ZONE:
-        return member.zone == first.zone
-    return member.replica_group == first.replica_group
+        return one.zone == other.zone
+    return one.replica_group == other.replica_group
 
 
 def is_harmless_to_repeat(request: RequestState) -> bool:
--- a/indigokeel/net/downstream/client_connection.py
+++ b/indigokeel/net/downstream/client_connection.py
@@ -108,7 +108,8 @@
             return
         request_input.pipeline.append_bytes(data, arrived_at, now)
         request_input.flow.process()
-        self.update_memory()
+        if request_input.pipeline.has_unparsed_bytes():  # else it was recorded as the requests were served
+            self.update_memory()
 
     def _shed(self, data: bytes) -> bool:
         """Reject a complete request without parsing it, if the sidecar sheds load; return whether it does.
--- a/indigokeel/net/downstream/current_exchange.py
+++ b/indigokeel/net/downstream/current_exchange.py
@@ -63,7 +63,7 @@
         self._timeouts = timeouts
         self._keep_alive = True  # the connection persists after the current response
         self._unread_since: float | None = None  # as last reported for the request's streamed body
-        self._request_bytes = 0  # memory of the request that the sidecar is serving
+        self._request_bytes = 0  # memory of the request that was accepted last
         self.busy = False  # a request is being served or responded to
         self.request_id = ""  # of the request that the sidecar is serving, until its response
 
@@ -74,9 +74,8 @@
 
     def held_bytes(self) -> int:
         """Return the memory that the current request takes, and its response may take."""
-        return (
-            self._request_bytes + MAX_RESPONSE_BYTES if self.request_id or self._writer.is_streaming() else 0
-        )
+        is_in_progress = self.request_id or self._writer.is_streaming()
+        return self._request_bytes + MAX_RESPONSE_BYTES if is_in_progress else 0
 
     def on_accepted(self, request_id: str, request_bytes: int) -> None:
         """Record that the sidecar serves the request from now on."""
@@ -122,7 +121,6 @@
     def on_written(self) -> None:
         """Finish the exchange, and end the connection if it does not persist."""
         self.busy = False
-        self._request_bytes = 0
         self._input.end_current_stream()
         if self._input.active_stream() is not None:
             return  # a close before the rest of the body is read would reset the connection
@@ -159,7 +157,6 @@
         """Cancel the request being served, and the streamed bodies in both directions."""
         request_id = self.request_id
         self.request_id = ""
-        self._request_bytes = 0
         if request_id:
             self._handler.client_disconnected(request_id)
         self._input.drop_streams()
--- a/indigokeel/net/downstream/request_parser.py
+++ b/indigokeel/net/downstream/request_parser.py
@@ -219,7 +219,7 @@
         pieces = self._pieces
         if not pieces:
             return
-        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        data = b"".join(pieces)
         pieces.clear()
         if self.request_stream is not None or self.already_responded:
             if self.body_bytes > http.MAX_REQUEST_BODY:
--- a/indigokeel/net/upstream/response_parser.py
+++ b/indigokeel/net/upstream/response_parser.py
@@ -128,7 +128,7 @@
             return
         self._pieces = []
         self._check_body_size(self._body_bytes)
-        http.append_part(self.body, pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        http.append_part(self.body, b"".join(pieces))
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it is an interim response."""
--- a/indigokeel/requests/repeat_scope.py
+++ b/indigokeel/requests/repeat_scope.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from indigokeel.balancing.retry_policy import are_in_same_scope
 from indigokeel.balancing.settings import DeduplicationScope
 from indigokeel.endpoints.directory import EndpointDirectory
 from indigokeel.endpoints.endpoint_list import Endpoint
@@ -22,7 +23,7 @@
     target = directory.endpoint(attempt.upstream)
     return target is not None and all(
         execution.endpoint is not None
-        and _is_same_scope(scope, target, execution.endpoint)
+        and are_in_same_scope(scope, target, execution.endpoint)
         and not _is_taken_over(scope, execution.endpoint, directory)
         for execution in executions
     )
@@ -31,10 +32,4 @@
 def _is_taken_over(scope: DeduplicationScope, endpoint: Endpoint, directory: EndpointDirectory) -> bool:
     """Return whether an upstream of another scope is listed at the address of an endpoint by now."""
     current = directory.endpoint_at((endpoint.host, endpoint.port))
-    return current is not None and not _is_same_scope(scope, current, endpoint)
-
-
-def _is_same_scope(scope: DeduplicationScope, one: Endpoint, other: Endpoint) -> bool:
-    if scope is DeduplicationScope.ZONE:
-        return one.zone == other.zone
-    return one.replica_group == other.replica_group
+    return current is not None and not are_in_same_scope(scope, current, endpoint)
